--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+# Targets are run by developers and CI alike. See README.md.
+.PHONY: all build fmt lint vet unit test
+
+LINT = go tool -modfile=tools/go.mod golangci-lint
+
+all: build
+
+build:
+	go build -o bin/rhubarbdrift .
+
+fmt:
+	$(LINT) fmt ./...
+
+lint:
+	$(LINT) run ./...
+
+vet:
+	go vet ./...
+
+unit:
+	go test -race -count=1 ./...
+
+test: lint vet unit
--- /dev/null
+++ b/main.go
@@ -0,0 +1,4 @@
+// Command rhubarbdrift is a proxy fleet between callers and targets with gray failures.
+package main
+
+func main() {}
--- /dev/null
+++ b/model/check.go
@@ -0,0 +1,225 @@
+package model
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+
+	"github.com/tailscale/hujson"
+
+	"rhubarbdrift.example/fault"
+)
+
+// digestLength is the number of hexadecimal digits of a SHA-256 digest.
+const digestLength = 64
+
+// DecodeIntent decodes JSON with comments and checks the result.
+func DecodeIntent(data []byte) (*Intent, error) {
+	in := new(Intent)
+	if err := DecodeStrict(data, in); err != nil {
+		return nil, err
+	}
+	if err := in.Check(); err != nil {
+		return nil, err
+	}
+	return in, nil
+}
+
+// DecodeStrict decodes JSON with comments into value. Unknown fields and
+// trailing data are errors that name the line.
+func DecodeStrict(data []byte, value any) error {
+	plain, err := hujson.Standardize(bytes.Clone(data))
+	if err != nil {
+		return fault.Invalid("syntax", err.Error(), "correct the JSON; comments and trailing commas are allowed")
+	}
+	d := json.NewDecoder(bytes.NewReader(plain))
+	d.DisallowUnknownFields()
+	if err := d.Decode(value); err != nil {
+		return decodeFault(plain, d.InputOffset(), err)
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return fault.Invalid(lineOf(plain, d.InputOffset()), "data after the end of the document", "remove it")
+	}
+	return nil
+}
+
+func decodeFault(data []byte, offset int64, err error) error {
+	var kind *json.UnmarshalTypeError
+	if errors.As(err, &kind) {
+		return fault.Invalid(fmt.Sprintf("%s, field %s", lineOf(data, kind.Offset), kind.Field),
+			"found a "+kind.Value, "give a value of type "+kind.Type.String())
+	}
+	return fault.Invalid(lineOf(data, offset), err.Error(), "remove the field or correct its name")
+}
+
+func lineOf(data []byte, offset int64) string {
+	if offset > int64(len(data)) {
+		offset = int64(len(data))
+	}
+	return fmt.Sprintf("line %d", 1+bytes.Count(data[:offset], []byte("\n")))
+}
+
+// Check reports the first mistake in the intent.
+func (in *Intent) Check() error {
+	customers, err := in.checkCustomers()
+	if err != nil {
+		return err
+	}
+	pools, err := in.checkPools()
+	if err != nil {
+		return err
+	}
+	return in.checkRoutes(customers, pools)
+}
+
+func (in *Intent) checkCustomers() (map[CustomerID]bool, error) {
+	seen := make(map[CustomerID]bool, len(in.Customers))
+	digests := make(map[Digest]CustomerID)
+	for i := range in.Customers {
+		c := &in.Customers[i]
+		if err := c.Check(); err != nil {
+			return nil, err
+		}
+		if seen[c.ID] {
+			return nil, repeated("customer", string(c.ID))
+		}
+		seen[c.ID] = true
+		for _, k := range c.Keys {
+			if other, ok := digests[k.Digest]; ok {
+				return nil, fault.Invalid(field("customer", string(c.ID), "keys"),
+					fmt.Sprintf("key %s is also a key of customer %s", k.ID, other), "issue a new key")
+			}
+			digests[k.Digest] = c.ID
+		}
+	}
+	return seen, nil
+}
+
+// Check reports the first mistake in the customer.
+func (c *Customer) Check() error {
+	if c.ID == "" {
+		return fault.Invalid("customer id", "is empty", "give each customer an id")
+	}
+	if c.Rate <= 0 {
+		return fault.Invalid(field("customer", string(c.ID), "rate"), "must be above 0 requests/s", "set a rate")
+	}
+	if c.Burst < 1 {
+		return fault.Invalid(field("customer", string(c.ID), "burst"), "must be at least 1 request", "set a burst")
+	}
+	for _, k := range c.Keys {
+		if k.ID == "" || len(k.Digest) != digestLength || strings.Trim(string(k.Digest), "0123456789abcdef") != "" {
+			return fault.Invalid(field("customer", string(c.ID), "keys"),
+				fmt.Sprintf("key %q has no id or no SHA-256 digest of %d hexadecimal digits", k.ID, digestLength),
+				"give the digest that `rhubarbdrift key` prints, never the key")
+		}
+	}
+	return nil
+}
+
+func (in *Intent) checkPools() (map[PoolID]bool, error) {
+	seen := make(map[PoolID]bool, len(in.Pools))
+	targets := make(map[TargetID]bool)
+	for i := range in.Pools {
+		p := &in.Pools[i]
+		if p.ID == "" {
+			return nil, fault.Invalid("pool id", "is empty", "give each pool an id")
+		}
+		if seen[p.ID] {
+			return nil, repeated("pool", string(p.ID))
+		}
+		seen[p.ID] = true
+		if p.Floor < 0 || p.Floor > 1 {
+			return nil, fault.Invalid(field("pool", string(p.ID), "floor"), "must be between 0 and 1", "give the share of slots to keep")
+		}
+		for _, t := range p.Targets {
+			if err := t.Check(); err != nil {
+				return nil, err
+			}
+			if targets[t.ID] {
+				return nil, repeated("target", string(t.ID))
+			}
+			targets[t.ID] = true
+		}
+	}
+	return seen, nil
+}
+
+// Check reports the first mistake in the target.
+func (t *Target) Check() error {
+	if t.ID == "" {
+		return fault.Invalid("target id", "is empty", "give each target an id")
+	}
+	host, _, err := net.SplitHostPort(t.Address)
+	if err != nil || net.ParseIP(host) == nil {
+		return fault.Invalid(field("target", string(t.ID), "address"), fmt.Sprintf("%q is not an IP address and port", t.Address), "write it as 10.0.0.1:8080")
+	}
+	if t.Slots < 1 {
+		return fault.Invalid(field("target", string(t.ID), "slots"), "must be at least 1", "set the number of concurrent requests that the target serves")
+	}
+	if t.Connections < 0 {
+		return fault.Invalid(field("target", string(t.ID), "connections"), "must not be negative", "remove the field or set a cap")
+	}
+	return nil
+}
+
+func (in *Intent) checkRoutes(customers map[CustomerID]bool, pools map[PoolID]bool) error {
+	seen := make(map[RouteID]bool, len(in.Routes))
+	paths := make(map[string]RouteID)
+	for i := range in.Routes {
+		r := &in.Routes[i]
+		if err := r.Check(); err != nil {
+			return err
+		}
+		if seen[r.ID] {
+			return repeated("route", string(r.ID))
+		}
+		seen[r.ID] = true
+		if other, ok := paths[r.Host+" "+r.Prefix]; ok {
+			return fault.Invalid(field("route", string(r.ID), "prefix"), "route "+string(other)+" has the same host and prefix", "remove one of the two")
+		}
+		paths[r.Host+" "+r.Prefix] = r.ID
+		if !pools[r.Pool] {
+			return fault.Invalid(field("route", string(r.ID), "pool"), fmt.Sprintf("pool %q does not exist", r.Pool), "name one of the intent's pools")
+		}
+		for _, id := range r.Customers {
+			if !customers[id] {
+				return fault.Invalid(field("route", string(r.ID), "customers"), fmt.Sprintf("customer %q does not exist", id), "name customers of the intent")
+			}
+		}
+	}
+	return nil
+}
+
+// Check reports the first mistake in the route that can be seen without the rest of the intent.
+func (r *Route) Check() error {
+	if r.ID == "" {
+		return fault.Invalid("route id", "is empty", "give each route an id")
+	}
+	if !strings.HasPrefix(r.Prefix, "/") {
+		return fault.Invalid(field("route", string(r.ID), "prefix"), "must start with /", "write the path prefix as /orders")
+	}
+	switch r.Repeat {
+	case "", RepeatSafe, RepeatAlways, RepeatNever:
+	default:
+		return fault.Invalid(field("route", string(r.ID), "repeat"), fmt.Sprintf("%q is unknown", r.Repeat), "use safe, always or never")
+	}
+	switch r.Outage {
+	case "", OutageRefuse, OutageForward:
+	default:
+		return fault.Invalid(field("route", string(r.ID), "outage"), fmt.Sprintf("%q is unknown", r.Outage), "use refuse or forward")
+	}
+	if r.Deadline < 0 || r.Body < 0 {
+		return fault.Invalid(field("route", string(r.ID), "deadline or body"), "must not be negative", "remove the field for the default")
+	}
+	return nil
+}
+
+func field(kind, id, name string) string { return kind + " " + id + ": " + name }
+
+func repeated(kind, id string) error {
+	return fault.Invalid(kind+" "+id, "appears twice", "remove one of the two")
+}
--- /dev/null
+++ b/model/intent.go
@@ -0,0 +1,149 @@
+package model
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+)
+
+// Repeat says which requests of a route may be sent to a target again.
+type Repeat string
+
+// The values of Repeat.
+const (
+	// RepeatSafe allows GET, HEAD and OPTIONS to be repeated. It is the default.
+	RepeatSafe Repeat = "safe"
+	// RepeatAlways allows every request to be repeated.
+	RepeatAlways Repeat = "always"
+	// RepeatNever allows no request to be repeated.
+	RepeatNever Repeat = "never"
+)
+
+// Outage says what happens to a request that may not be repeated while the
+// platform cannot record its claim.
+type Outage string
+
+// The values of Outage.
+const (
+	// OutageRefuse refuses the request as not run. It is the default.
+	OutageRefuse Outage = "refuse"
+	// OutageForward sends the request without a claim, which gives up the
+	// guarantee that it runs at most once.
+	OutageForward Outage = "forward"
+)
+
+// Key is one credential of a customer. Only its digest is stored.
+type Key struct {
+	ID     KeyID  `json:"id"     cbor:"1,keyasint"`
+	Digest Digest `json:"digest" cbor:"2,keyasint"`
+}
+
+// DigestOf returns the digest of a key or of any other value.
+func DigestOf(value []byte) Digest {
+	sum := sha256.Sum256(value)
+	return Digest(hex.EncodeToString(sum[:]))
+}
+
+// Customer is a party whose requests are authenticated, limited and scheduled together.
+type Customer struct {
+	ID     CustomerID `json:"id"               cbor:"1,keyasint"`
+	Rate   Rate       `json:"rate"             cbor:"2,keyasint"` // requests per second over the fleet
+	Burst  Burst      `json:"burst"            cbor:"3,keyasint"` // requests over the fleet
+	Weight int        `json:"weight,omitempty" cbor:"4,keyasint,omitempty"`
+	Keys   []Key      `json:"keys,omitempty"   cbor:"5,keyasint,omitempty"`
+}
+
+// Route maps requests by host and path prefix to a pool.
+type Route struct {
+	ID        RouteID      `json:"id"                  cbor:"1,keyasint"`
+	Host      string       `json:"host,omitempty"      cbor:"2,keyasint,omitempty"` // empty: any
+	Prefix    string       `json:"prefix"              cbor:"3,keyasint"`
+	Pool      PoolID       `json:"pool"                cbor:"4,keyasint"`
+	Open      bool         `json:"open,omitempty"      cbor:"5,keyasint,omitempty"`  // no key needed
+	Customers []CustomerID `json:"customers,omitempty" cbor:"6,keyasint,omitempty"`  // empty: all customers
+	Repeat    Repeat       `json:"repeat,omitempty"    cbor:"7,keyasint,omitempty"`  // default: safe
+	Outage    Outage       `json:"outage,omitempty"    cbor:"8,keyasint,omitempty"`  // default: refuse
+	Deadline  Millis       `json:"deadline,omitempty"  cbor:"9,keyasint,omitempty"`  // default: DefaultDeadline
+	Body      int          `json:"body,omitempty"      cbor:"10,keyasint,omitempty"` // largest request body in bytes
+}
+
+// DefaultDeadline is the time that a route without a deadline allows for a request.
+const DefaultDeadline Millis = 30_000
+
+// DefaultBody is the largest request body, in bytes, of a route without a limit.
+const DefaultBody = 1 << 20
+
+// Timeout returns the route's deadline or the default.
+func (r *Route) Timeout() Millis {
+	if r.Deadline > 0 {
+		return r.Deadline
+	}
+	return DefaultDeadline
+}
+
+// MaxBody returns the route's largest request body in bytes.
+func (r *Route) MaxBody() int {
+	if r.Body > 0 {
+		return r.Body
+	}
+	return DefaultBody
+}
+
+// Repeatable reports whether a request with the given method may be sent to a target again.
+func (r *Route) Repeatable(method string) bool {
+	switch r.Repeat {
+	case RepeatAlways:
+		return true
+	case RepeatNever:
+		return false
+	default:
+		return method == "GET" || method == "HEAD" || method == "OPTIONS"
+	}
+}
+
+// Allows reports whether the customer may use the route.
+func (r *Route) Allows(id CustomerID) bool {
+	if len(r.Customers) == 0 {
+		return true
+	}
+	for _, c := range r.Customers {
+		if c == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Target is one instance of a service.
+type Target struct {
+	ID          TargetID `json:"id"                    cbor:"1,keyasint"`
+	Address     string   `json:"address"               cbor:"2,keyasint"` // IP address and port
+	Region      Region   `json:"region"                cbor:"3,keyasint"`
+	Domain      Domain   `json:"domain"                cbor:"4,keyasint"`
+	Slots       Slots    `json:"slots"                 cbor:"5,keyasint"`
+	Connections int      `json:"connections,omitempty" cbor:"6,keyasint,omitempty"` // cap over all daemons
+	Leaving     bool     `json:"leaving,omitempty"     cbor:"7,keyasint,omitempty"` // receives no new work
+}
+
+// Pool is a set of targets that answer the same requests.
+type Pool struct {
+	ID      PoolID   `json:"id"              cbor:"1,keyasint"`
+	Floor   Share    `json:"floor"           cbor:"2,keyasint"` // share of the pool's slots that ejection leaves
+	Probe   string   `json:"probe,omitempty" cbor:"3,keyasint,omitempty"`
+	Targets []Target `json:"targets"         cbor:"4,keyasint"`
+}
+
+// Slots returns the sum of the slots of all targets.
+func (p *Pool) Slots() Slots {
+	var sum Slots
+	for _, t := range p.Targets {
+		sum += t.Slots
+	}
+	return sum
+}
+
+// Intent is the complete configuration that operators ask for.
+type Intent struct {
+	Customers []Customer `json:"customers"`
+	Routes    []Route    `json:"routes"`
+	Pools     []Pool     `json:"pools"`
+}
