--- /dev/null
+++ b/store/link.go
@@ -0,0 +1,53 @@
+package store
+
+import "context"
+
+// Link is one caller's path to a Mem. Its switches affect only this caller,
+// those of the Mem affect all.
+type Link struct {
+	*Faults
+	mem *Mem
+}
+
+// Link returns a new path to the store.
+func (m *Mem) Link() *Link { return &Link{Faults: &Faults{notify: m.wake}, mem: m} }
+
+// Get implements Store.
+func (l *Link) Get(ctx context.Context, kind Kind, name string) (Object, error) {
+	return read(ctx, l.Faults, func() (Object, error) { return l.mem.Get(ctx, kind, name) })
+}
+
+// List implements Store.
+func (l *Link) List(ctx context.Context, kind Kind) ([]Object, Version, error) {
+	v, err := read(ctx, l.Faults, func() (Listing, error) {
+		objects, version, err := l.mem.List(ctx, kind)
+		return Listing{objects, version}, err
+	})
+	return v.Objects, v.Version, err
+}
+
+// Put implements Store.
+func (l *Link) Put(ctx context.Context, kind Kind, name string, value []byte, match Version) (Version, error) {
+	rest := context.WithoutCancel(ctx)
+	return write(ctx, l.Faults, func() (Version, error) { return l.mem.Put(rest, kind, name, value, match) })
+}
+
+// Delete implements Store.
+func (l *Link) Delete(ctx context.Context, kind Kind, name string, match Version) error {
+	rest := context.WithoutCancel(ctx)
+	_, err := write(ctx, l.Faults, func() (Version, error) { return match, l.mem.Delete(rest, kind, name, match) })
+	return err
+}
+
+// Watch implements Store.
+func (l *Link) Watch(ctx context.Context, kind Kind, after Version) ([]Event, Version, error) {
+	l.mem.mu.Lock()
+	l.mem.calls.Watch++
+	l.mem.mu.Unlock()
+	return watch(ctx, l.mem, []*Faults{l.Faults, l.mem.Faults}, kind, after)
+}
+
+// Hosts implements Store.
+func (l *Link) Hosts(ctx context.Context) ([]Host, error) {
+	return read(ctx, l.Faults, func() ([]Host, error) { return l.mem.Hosts(ctx) })
+}
--- /dev/null
+++ b/store/mem_test.go
@@ -0,0 +1,86 @@
+package store
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"rhubarbdrift.example/fault"
+)
+
+// TestLateWrite guards against a store that forgets a slow write when its
+// caller gives up: over a network it still takes effect.
+func TestLateWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := NewMem()
+		m.SetDelay(4 * time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := m.Put(ctx, KindLease, "a", []byte("x"), 0)
+		must.True(t, fault.Is(err, fault.Unknown))
+		m.SetDelay(0)
+		_, err = m.Get(t.Context(), KindLease, "a")
+		must.True(t, fault.Is(err, fault.Missing))
+		time.Sleep(5 * time.Second)
+		_, err = m.Get(t.Context(), KindLease, "a")
+		must.NoError(t, err)
+	})
+}
+
+// TestLink guards against switches of one path that affect another, and
+// against a one-way partition whose writes have no effect.
+func TestLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := NewMem()
+		a, b := m.Link(), m.Link()
+		a.SetMute(true)
+		_, err := a.Put(t.Context(), KindLease, "x", nil, 0)
+		must.True(t, fault.Is(err, fault.Unknown))
+		_, _, err = a.Watch(t.Context(), KindLease, 0)
+		must.True(t, fault.Is(err, fault.Unavailable))
+		_, err = b.Get(t.Context(), KindLease, "x")
+		must.NoError(t, err)
+		m.LoseAnswers(1)
+		_, err = b.Put(t.Context(), KindLease, "y", nil, 0)
+		must.True(t, fault.Is(err, fault.Unknown))
+		m.SetUnavailable(true)
+		_, err = b.Get(t.Context(), KindLease, "x")
+		must.True(t, fault.Is(err, fault.Unavailable))
+	})
+}
+
+// TestHistory guards against a bounded history that hides the gap from a watch.
+func TestHistory(t *testing.T) {
+	m := NewMem(WithHistory(2))
+	var version Version
+	var err error
+	for range 6 {
+		version, err = m.Put(t.Context(), KindConf, "root", nil, version)
+		must.NoError(t, err)
+	}
+	_, _, err = m.Watch(t.Context(), KindConf, 0)
+	must.True(t, fault.Is(err, Compacted))
+	events, _, err := m.Watch(t.Context(), KindConf, version-1)
+	must.NoError(t, err)
+	must.Len(t, 1, events)
+}
+
+// TestHostLag guards against a host list without lag, which would hide faults
+// that the real list shows.
+func TestHostLag(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := NewMem(WithLag(5 * time.Second))
+		m.SetHost(Host{ID: "h1"})
+		hosts, err := m.Hosts(t.Context())
+		must.NoError(t, err)
+		must.Len(t, 0, hosts)
+		time.Sleep(5 * time.Second)
+		m.RemoveHost("h1")
+		hosts, err = m.Hosts(t.Context())
+		must.NoError(t, err)
+		must.Len(t, 1, hosts)
+	})
+}
