lease: name the shard by its number in Voter.Endorse

Cause: the package that implements the votes takes a model.Shard. Change: Endorse takes a model.Shard; the comment on CutOff says that only the named members may count. Conclusion: no change of behaviour.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -106,12 +106,13 @@
 	// Roster returns the newest roster of the cell that this member knows.
 	Roster() (version uint64, members []model.HostID)
 	// CutOff returns how many of the members, this one included if it is named,
-	// said within the last Period that they have no platform contact.
+	// said within the last Period that they have no platform contact. Others
+	// must not count: the members may be those of an older roster.
 	CutOff(ctx context.Context, members []model.HostID) int
 	// Endorse asks the members whether the shard may be taken over and returns
 	// how many agree: those that have contact, did not say otherwise for two
 	// periods and will not say otherwise for two periods.
-	Endorse(ctx context.Context, members []model.HostID, shard string) int
+	Endorse(ctx context.Context, members []model.HostID, shard model.Shard) int
 }
 
 // Keeper acquires, renews and gives up the leases of one daemon.
