conf: split, commit and serve versions of the configuration

Cause: daemons and operators need the configuration as one version that is committed as a whole, although 26,000 customers do not fit in one object.

After a lost answer it writes again under the same condition and compares change ids.

--- /dev/null
+++ b/conf/conf_test.go
@@ -0,0 +1,196 @@
+package conf
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"github.com/shoenig/test/must"
+
+	"rhubarbdrift.example/fault"
+	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/store"
+)
+
+// fakeStore is the part of the platform that the tests need.
+type fakeStore struct {
+	store.Store
+	mu      sync.Mutex
+	objects map[string]store.Object
+	version store.Version
+	lose    int // number of writes of the root whose answer is lost
+	drop    int // number of writes of the root that are lost before the platform
+	writes  int
+}
+
+func newFake() *fakeStore { return &fakeStore{objects: make(map[string]store.Object)} }
+
+func (f *fakeStore) Get(_ context.Context, kind store.Kind, name string) (store.Object, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	o, ok := f.objects[string(kind)+"/"+name]
+	if !ok {
+		return o, store.ErrMissing(kind, name)
+	}
+	return o, nil
+}
+
+func (f *fakeStore) Put(_ context.Context, kind store.Kind, name string, value []byte, match store.Version) (store.Version, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if kind == store.KindConf && f.drop > 0 {
+		f.drop--
+		return 0, store.ErrUnknown("dropped")
+	}
+	path := string(kind) + "/" + name
+	if f.objects[path].Version != match {
+		return 0, store.ErrConflict(kind, name)
+	}
+	if len(value) > store.MaxValue {
+		return 0, fault.Invalid(path, "is too large", "split it")
+	}
+	f.version++
+	f.writes++
+	f.objects[path] = store.Object{Kind: kind, Name: name, Version: f.version, Value: value}
+	if kind == store.KindConf && f.lose > 0 {
+		f.lose--
+		return 0, store.ErrUnknown("lost")
+	}
+	return f.version, nil
+}
+
+func sample(customers int) *model.Intent {
+	in := &model.Intent{
+		Pools: []model.Pool{{ID: "ledger", Floor: 0.5}, {ID: "archive"}},
+		Routes: []model.Route{
+			{ID: "any", Prefix: "/", Pool: "ledger"},
+			{ID: "orders", Prefix: "/orders", Pool: "ledger"},
+			{ID: "files", Host: "Files.Example", Prefix: "/orders/files/", Pool: "archive"},
+		},
+	}
+	for i := range customers {
+		id := fmt.Sprintf("customer-%05d", i)
+		in.Customers = append(in.Customers, model.Customer{ID: model.CustomerID(id), Rate: 10, Burst: 20, Weight: 1,
+			Keys: []model.Key{{ID: "a", Digest: model.DigestOf([]byte(id))}, {ID: "b", Digest: model.DigestOf([]byte(id + "b"))}}})
+	}
+	return in
+}
+
+func commit(t *testing.T, s store.Store, base store.Version, version model.ConfigVersion, change string, in *model.Intent) (store.Version, error) {
+	t.Helper()
+	audit := []byte("record " + change)
+	root, chunks, err := Build(in, version, model.DigestOf(audit), change)
+	must.NoError(t, err)
+	return Commit(t.Context(), s, base, root, chunks, audit)
+}
+
+// TestBuildLarge guards against objects above the platform's limit at the
+// large size, against chunks that depend on the order of the intent, and
+// against a small change that rewrites many chunks.
+func TestBuildLarge(t *testing.T) {
+	in := sample(26_000)
+	f := newFake()
+	at, err := commit(t, f, 0, 1, "one", in)
+	must.NoError(t, err)
+	first, _, err := Load(t.Context(), f)
+	must.NoError(t, err)
+	must.Eq(t, 26_000, len(first.Intent().Customers))
+	slices.Reverse(in.Customers)
+	again, _, err := Build(in, 1, first.Root().Audit, "one")
+	must.NoError(t, err)
+	must.Eq(t, first.Root().Chunks, again.Chunks)
+
+	in.Customers[7].Keys = in.Customers[7].Keys[:1]
+	before := f.writes
+	_, err = commit(t, f, at, 2, "two", in)
+	must.NoError(t, err)
+	must.EqOp(t, 3, f.writes-before, must.Sprint("one chunk, one audit record, one root"))
+	second, _, err := Load(t.Context(), f, WithBase(first))
+	must.NoError(t, err)
+	_, _, ok := second.Key(model.DigestOf([]byte(string(in.Customers[7].ID) + "b")))
+	must.False(t, ok, must.Sprint("the revoked key is gone"))
+}
+
+// TestAssembleDigest guards against a chunk that was altered on its way.
+func TestAssembleDigest(t *testing.T) {
+	root, chunks, err := Build(sample(3), 1, model.DigestOf(nil), "one")
+	must.NoError(t, err)
+	_, err = Assemble(root, func(d model.Digest) ([]byte, error) { return append(slices.Clone(chunks[d]), 0), nil })
+	must.True(t, fault.Is(err, fault.KindInvalid))
+}
+
+// TestRoute guards against a prefix that matches within a segment, a shorter
+// prefix that wins, and allocations on the path of each request.
+func TestRoute(t *testing.T) {
+	root, chunks, err := Build(sample(1), 1, model.DigestOf(nil), "one")
+	must.NoError(t, err)
+	s, err := Assemble(root, func(d model.Digest) ([]byte, error) { return chunks[d], nil })
+	must.NoError(t, err)
+	for _, c := range []struct{ host, path, want string }{
+		{"x", "/", "any"}, {"x", "/orders", "orders"}, {"x", "/orders/7", "orders"}, {"x", "/orders2", "any"},
+		{"files.example", "/orders/files/9/long/path", "files"}, {"files.example", "/orders/files", "orders"}, {"x", "*", ""},
+	} {
+		r, ok := s.Route(c.host, c.path)
+		must.EqOp(t, c.want != "", ok)
+		if ok {
+			must.EqOp(t, model.RouteID(c.want), r.ID, must.Sprint(c.host, c.path))
+		}
+	}
+	must.EqOp(t, 0, testing.AllocsPerRun(100, func() { s.Route("files.example", "/orders/a/b/c") }))
+}
+
+// TestHolderNeverReverts guards against an older version that arrives late.
+func TestHolderNeverReverts(t *testing.T) {
+	h := NewHolder()
+	var seen []model.ConfigVersion
+	h.Subscribe(func(s *Snapshot) { seen = append(seen, s.Version()) })
+	for _, v := range []model.ConfigVersion{2, 1, 2, 3} {
+		h.Install(&Snapshot{root: Root{Version: v}})
+	}
+	must.Eq(t, []model.ConfigVersion{2, 3}, seen)
+}
+
+// TestCommitLostAnswer guards against a change that is reported as failed
+// although it took effect, also when another one followed, and against one
+// that is reported as done although the platform never saw it.
+func TestCommitLostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		f.lose, f.drop = 1, 2
+		at, err := commit(t, f, 0, 1, "one", sample(2))
+		must.NoError(t, err)
+		_, err = commit(t, f, at, 2, "two", sample(3))
+		must.NoError(t, err)
+		_, err = commit(t, f, 0, 1, "one", sample(2))
+		must.NoError(t, err, must.Sprint("repeating a committed change is harmless"))
+		f.drop = 100
+		_, err = commit(t, f, f.version, 3, "three", sample(4))
+		must.True(t, fault.Is(err, fault.Unknown))
+	})
+}
+
+// TestCommitRace guards against two operators that both believe they won.
+func TestCommitRace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		f.lose = 1
+		var group sync.WaitGroup
+		results := make([]error, 2)
+		for i := range results {
+			group.Go(func() { _, results[i] = commit(t, f, 0, 1, fmt.Sprint("change ", i), sample(2+i)) })
+		}
+		group.Wait()
+		s, _, err := Load(t.Context(), f)
+		must.NoError(t, err)
+		for i, err := range results {
+			if s.Root().Change == fmt.Sprint("change ", i) {
+				must.NoError(t, err)
+			} else {
+				must.True(t, fault.Is(err, fault.Conflict))
+			}
+		}
+	})
+}
