wire: typed messages between daemons by gRPC with CBOR

Fault kinds travel in a trailer; a transport error is fault.Unavailable only if no header of the call left the host.

--- /dev/null
+++ b/wire/doc.go
@@ -0,0 +1,30 @@
+// Package wire carries typed messages between daemons by gRPC, with CBOR
+// instead of generated code.
+//
+// A message is a struct with CBOR tags. If it has a method Check() error, the
+// codec calls it after decoding, so that a handler only sees valid values.
+// Errors keep their fault kind over the network. A call whose request was
+// certainly not sent fails with fault.Unavailable; one that may have run fails
+// with fault.Unknown.
+//
+// # Usage
+//
+// A server:
+//
+//	s := wire.NewServer()
+//	wire.Handle(s, "quota.take", func(ctx context.Context, q *Take) (*Grant, error) { ... })
+//	wire.Receive(s, "cell.beat", func(ctx context.Context, b *Beat) { ... })
+//	err := s.Serve(ctx, listener)
+//
+// A client:
+//
+//	p := wire.NewPool()
+//	defer p.Close()
+//	grant, err := wire.Call[Take, Grant](ctx, p.Client("10.0.0.2:7100"), "quota.take", &take)
+//
+// A Sender posts small frequent messages, such as heartbeats, on one stream
+// without waiting for answers. Counters report the traffic of each method.
+//
+// gRPC's name resolution, load balancing, retries and service configuration
+// are not used: each address has one connection.
+package wire
--- /dev/null
+++ b/wire/status.go
@@ -0,0 +1,81 @@
+package wire
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"rhubarbdrift.example/fault"
+)
+
+// kindField is the trailer with the fault kind of a handler's error. An error
+// without it comes from the transport.
+const kindField = "fault-kind"
+
+var codeOf = map[fault.Kind]codes.Code{
+	fault.KindInvalid: codes.InvalidArgument,
+	fault.Conflict:    codes.Aborted,
+	fault.Missing:     codes.NotFound,
+	fault.Unavailable: codes.Unavailable,
+	fault.Unknown:     codes.Unknown,
+	fault.Denied:      codes.PermissionDenied,
+	fault.Limited:     codes.ResourceExhausted,
+	fault.Late:        codes.DeadlineExceeded,
+}
+
+// toStatus converts a handler's error for the network.
+func toStatus(ctx context.Context, err error) error {
+	if err == nil {
+		return nil
+	}
+	kind := fault.KindOf(err)
+	if kind == "" {
+		kind = fault.Unknown
+	}
+	if err := grpc.SetTrailer(ctx, metadata.Pairs(kindField, string(kind))); err != nil {
+		return status.Error(codes.Internal, err.Error())
+	}
+	code, ok := codeOf[kind]
+	if !ok {
+		code = codes.Unknown
+	}
+	return status.Error(code, err.Error())
+}
+
+// remoteError is a handler's error as the caller sees it. Its message already
+// names the remedy.
+func remoteError(method, kind string, err error) error {
+	return fault.New(fault.Kind(kind), method+": "+status.Convert(err).Message(), "see the message of the other host")
+}
+
+// fromStatus converts the error of a call. The flag sent tells whether the
+// request may have reached the other host.
+func fromStatus(method string, err error, trailer metadata.MD, sent bool) error {
+	if err == nil {
+		return nil
+	}
+	if kinds := trailer.Get(kindField); len(kinds) == 1 {
+		return remoteError(method, kinds[0], err)
+	}
+	message := fmt.Sprintf("%s: %s", method, status.Convert(err).Message())
+	switch status.Code(err) {
+	case codes.Unimplemented:
+		return fault.New(fault.Missing, message, "run a version of rhubarbdrift that has this method on all hosts")
+	case codes.ResourceExhausted, codes.Internal, codes.InvalidArgument:
+		return fault.New(fault.KindInvalid, message, "run compatible versions of rhubarbdrift on all hosts")
+	}
+	if sent {
+		return fault.New(fault.Unknown, message, "the call may have run; ask the other host before repeating it")
+	}
+	return fault.New(fault.Unavailable, message, "the call was not sent; check the other host and retry")
+}
+
+// timedOut reports whether a call ended because the other host was silent.
+func timedOut(err error) bool {
+	return status.Code(err) == codes.DeadlineExceeded || errors.Is(err, context.DeadlineExceeded)
+}
