cell: heartbeats, freshness and outage votes of a member

A member vouches only for hosts whose version and roster are not older than its own, and after a restart only once it holds the root and roster of the platform or the highest of a majority. Statements for continuation and takeover exclude each other for two periods.

--- /dev/null
+++ b/cell/cell_test.go
@@ -0,0 +1,360 @@
+package cell
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"rhubarbdrift.example/model"
+)
+
+const (
+	size = 5
+	step = 100 * time.Millisecond
+)
+
+// event changes the simulated environment before a step.
+type event struct{ Step, Kind, A, B int }
+
+const (
+	cutLink = iota
+	healLink
+	cutPlatform
+	healPlatform
+	cutEverybody
+	pauseMember
+	restartMember
+	commitVersion
+	kinds
+)
+
+type delivery struct {
+	at   time.Time
+	to   int
+	beat Beat
+}
+
+// sim runs a cell in simulated time, with its own record of who holds what.
+type sim struct {
+	now     time.Time
+	random  *rand.Rand
+	naive   bool // vouch regardless of versions
+	members [size]*Member
+	version [size]model.ConfigVersion
+	paused  [size]time.Time
+	cut     [size][size]bool
+	off     [size]bool // no platform
+	newest  model.ConfigVersion
+	roster  Roster
+	flying  []delivery
+	since   map[model.ConfigVersion]time.Time // when a majority first held it
+	runs    int
+}
+
+func newSim(seed uint64, naive bool) *sim {
+	s := &sim{now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)), naive: naive, newest: 1, since: make(map[model.ConfigVersion]time.Time)}
+	s.roster.Version = 1
+	for i := range size {
+		s.roster.Hosts = append(s.roster.Hosts, Host{ID: model.HostID(fmt.Sprint("h", i)), Address: fmt.Sprint(i)})
+	}
+	for i := range size {
+		s.restart(i)
+	}
+	return s
+}
+
+func (s *sim) restart(i int) {
+	s.runs++
+	s.version[i] = 0
+	s.members[i] = NewMember(s.roster.Hosts[i], "c", model.Incarnation(fmt.Sprint(s.runs)), WithClock(func() time.Time { return s.now }))
+	s.members[i].Adopt(s.roster, false)
+}
+
+func (s *sim) install(i int, v model.ConfigVersion) {
+	s.version[i] = max(s.version[i], v)
+	s.members[i].SetVersion(v)
+}
+
+func (s *sim) apply(e event) {
+	a, b := e.A%size, e.B%size
+	switch e.Kind % kinds {
+	case cutLink:
+		s.cut[a][b] = true
+	case healLink:
+		s.cut[a][b] = false
+	case cutPlatform:
+		s.off[a] = true
+	case healPlatform:
+		s.off[a] = false
+	case cutEverybody:
+		s.off = [size]bool{true, true, true, true, true}
+	case pauseMember:
+		s.paused[a] = s.now.Add(time.Duration(e.B) * time.Second)
+	case restartMember:
+		s.restart(a)
+	case commitVersion:
+		s.newest++
+	}
+}
+
+// advance runs one step and returns a violation, if there is one.
+func (s *sim) advance(n int) string {
+	s.now = s.now.Add(step)
+	for i, m := range s.members {
+		if !s.paused[i].After(s.now) && n%20 == i*3 {
+			s.tick(i, m)
+		}
+	}
+	flying := s.flying
+	s.flying = nil
+	for _, d := range flying {
+		switch {
+		case d.at.After(s.now):
+			s.flying = append(s.flying, d)
+		case !s.paused[d.to].After(s.now):
+			s.receive(d)
+		}
+	}
+	return s.check()
+}
+
+func (s *sim) tick(i int, m *Member) {
+	for _, e := range m.Tick() {
+		var to int
+		_, _ = fmt.Sscan(e.Address, &to)
+		if s.naive {
+			e.Beat.Vouch = true
+		}
+		if !s.cut[i][to] && s.random.IntN(10) > 0 {
+			s.flying = append(s.flying, delivery{at: s.now.Add(time.Duration(s.random.IntN(1500)) * time.Millisecond), to: to, beat: e.Beat})
+		}
+	}
+	switch {
+	case !m.NeedsRead():
+	case s.off[i]:
+		m.NoteFailure(s.now)
+	default:
+		m.Adopt(s.roster, true)
+		m.NoteRead(s.now, s.newest)
+		s.install(i, s.newest)
+	}
+}
+
+func (s *sim) receive(d delivery) {
+	m := s.members[d.to]
+	m.Handle(d.beat)
+	var from int
+	_, _ = fmt.Sscanf(string(d.beat.From), "h%d", &from)
+	open := !s.cut[from][d.to] && !s.cut[d.to][from]
+	if d.beat.Version > s.version[d.to] && open && s.random.IntN(3) == 0 {
+		s.install(d.to, d.beat.Version)
+	}
+}
+
+func (s *sim) check() string {
+	for v := model.ConfigVersion(1); v <= s.newest; v++ {
+		count := 0
+		for _, held := range s.version {
+			if held >= v {
+				count++
+			}
+		}
+		if _, ok := s.since[v]; !ok && count >= s.roster.Majority() {
+			s.since[v] = s.now
+		}
+	}
+	for i, m := range s.members {
+		if s.paused[i].After(s.now) {
+			continue
+		}
+		for v, at := range s.since {
+			if s.version[i] < v && s.now.Sub(at) > FreshFor && m.Fresh() {
+				return fmt.Sprintf("h%d is fresh with version %d, %v after a majority held %d", i, s.version[i], s.now.Sub(at), v)
+			}
+			if m.Accepted(v) && s.now.Sub(at) < FreshFor {
+				return fmt.Sprintf("h%d reports version %d as accepted too early", i, v)
+			}
+		}
+	}
+	return ""
+}
+
+func schedule() *rapid.Generator[[]event] {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) event {
+		return event{
+			Step: rapid.IntRange(0, 600).Draw(t, "step"), Kind: rapid.IntRange(0, kinds-1).Draw(t, "kind"),
+			A: rapid.IntRange(0, size-1).Draw(t, "a"), B: rapid.IntRange(0, 9).Draw(t, "b"),
+		}
+	}), 10, 60)
+}
+
+func runSchedule(seed int, naive bool) (violation string, fresh int) {
+	events := schedule().Example(seed)
+	s := newSim(uint64(seed), naive)
+	for n := range 900 {
+		for _, e := range events {
+			if e.Step == n {
+				s.apply(e)
+			}
+		}
+		if v := s.advance(n); v != "" {
+			return v, fresh
+		}
+		for _, m := range s.members {
+			if m.Fresh() {
+				fresh++
+			}
+		}
+	}
+	return "", fresh
+}
+
+// TestFreshness guards against a member that serves with an old version more
+// than FreshFor after a majority holds a newer one, under random loss, one-way
+// cuts, pauses, restarts and outages. The same schedules must find a policy
+// that vouches regardless of versions, and members must not be stale always.
+func TestFreshness(t *testing.T) {
+	const schedules = 100
+	naive, fresh := 0, 0
+	for seed := range schedules {
+		violation, n := runSchedule(seed, false)
+		must.EqOp(t, "", violation, must.Sprint("seed ", seed))
+		fresh += n
+		if violation, _ := runSchedule(seed, true); violation != "" {
+			naive++
+		}
+	}
+	must.Positive(t, naive)
+	must.Greater(t, schedules*900*size/4, fresh)
+	t.Logf("fresh in %.0f%% of the samples; the naive policy fails in %d of %d schedules", 100*float64(fresh)/(schedules*900*size), naive, schedules)
+}
+
+// settled returns a cell in which all hold version 1 and the platform is gone.
+func settled() (*sim, int) {
+	s := newSim(7, false)
+	n := 0
+	for ; n < 200; n++ {
+		s.advance(n)
+	}
+	s.apply(event{Kind: cutEverybody})
+	for ; n < 400; n++ {
+		s.advance(n)
+	}
+	return s, n
+}
+
+// TestCutOff guards against a cut-off member that stays fresh for longer than
+// FreshFor, whichever direction is cut, and against a cell without the
+// platform that does not stay fresh by itself.
+func TestCutOff(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		in, out bool
+	}{{"both", true, true}, {"in", true, false}, {"out", false, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			s, n := settled()
+			must.True(t, s.members[0].Fresh())
+			for i := 1; i < size; i++ {
+				s.cut[i][0], s.cut[0][i] = c.in, c.out
+			}
+			flight := 1500 * time.Millisecond // heartbeats under way still count
+			for end := n + int((FreshFor+flight)/step); n < end; n++ {
+				s.advance(n)
+			}
+			must.False(t, s.members[0].Fresh())
+			must.True(t, s.members[1].Fresh())
+		})
+	}
+}
+
+// TestRestartInOutage guards against a member that vouches, or is fresh, after
+// a restart before it holds what the majority holds, and against one that
+// never recovers without the platform.
+func TestRestartInOutage(t *testing.T) {
+	s, n := settled()
+	s.restart(0)
+	must.False(t, s.members[0].Fresh())
+	for _, e := range s.members[0].Tick() {
+		must.False(t, e.Beat.Vouch || e.Beat.Loaded)
+	}
+	for end := n + 200; n < end; n++ {
+		s.advance(n)
+	}
+	must.True(t, s.members[0].Fresh())
+	must.EqOp(t, 1, s.version[0])
+	for i := range size {
+		s.restart(i) // nobody knows any more
+	}
+	for end := n + 200; n < end; n++ {
+		s.advance(n)
+	}
+	for i := range size {
+		must.False(t, s.members[i].Fresh())
+	}
+}
+
+// TestStatements guards against a member that supports the continuation of a
+// lease and its takeover within two periods, also across a restart.
+func TestStatements(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	start := func() *Member {
+		return NewMember(Host{ID: "a"}, "c", "1", WithClock(func() time.Time { return now }))
+	}
+	ask := func(m *Member, a Ask, up bool) bool {
+		now = now.Add(time.Millisecond)
+		if up {
+			m.NoteContact(now)
+		} else {
+			m.NoteFailure(now)
+		}
+		return m.Answer(Question{From: "b", Ask: a}, now).Yes
+	}
+	m := start()
+	must.False(t, ask(m, AskContact, false), must.Sprint("just started"))
+	must.False(t, ask(m, AskEndorse, true), must.Sprint("just started"))
+	now = now.Add(2 * Period)
+	must.True(t, ask(m, AskContact, false))
+	must.False(t, ask(m, AskEndorse, true), must.Sprint("has just said that it has no contact"))
+	now = now.Add(2 * Period)
+	must.False(t, ask(m, AskEndorse, false), must.Sprint("no contact"))
+	must.True(t, ask(m, AskEndorse, true))
+	must.False(t, ask(m, AskContact, false), must.Sprint("has just endorsed"))
+	now = now.Add(2 * Period)
+	must.True(t, ask(m, AskContact, false))
+	must.False(t, m.Answer(Question{From: "b", Ask: AskContact}, now.Add(time.Second)).Yes, must.Sprint("the failure is older than the question"))
+}
+
+// TestWatches guards against a cell that nobody watches because the members of
+// the lowest rank have lost the platform, and against too many watchers.
+func TestWatches(t *testing.T) {
+	s := newSim(3, false)
+	count := func() (total, connected int) {
+		for i, m := range s.members {
+			if m.Watches() {
+				total++
+				if !s.off[i] {
+					connected++
+				}
+			}
+		}
+		return total, connected
+	}
+	n := 0
+	for ; n < 100; n++ {
+		s.advance(n)
+	}
+	total, _ := count()
+	must.EqOp(t, watchers, total)
+	for i, m := range s.members {
+		s.off[i] = m.Watches()
+	}
+	for ; n < 300; n++ {
+		s.advance(n)
+	}
+	_, connected := count()
+	must.EqOp(t, watchers, connected)
+}
