--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,168 @@
+package config
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"rhubarbdrift.example/fault"
+	"rhubarbdrift.example/model"
+)
+
+// Defaults of optional settings.
+const (
+	// DefaultShards is the number of groups into which customers are hashed.
+	DefaultShards = 16
+	// DefaultDrain is the time that a planned stop waits for the balancer.
+	DefaultDrain model.Millis = 5_000
+	// DefaultLevel is the log level.
+	DefaultLevel = "info"
+	// DefaultConnections is the largest number of caller connections.
+	DefaultConnections = 16_384
+	maxShards          = 1024
+	maxDrain           = model.Millis(10 * 60 * 1000)
+)
+
+// Listen holds the addresses that a daemon listens on, as IP address and port.
+type Listen struct {
+	Callers string `json:"callers"`
+	Peers   string `json:"peers"`
+	Admin   string `json:"admin"`
+}
+
+// Operator is a person or program that may use the administration API.
+type Operator struct {
+	Name   string       `json:"name"`
+	Digest model.Digest `json:"digest"` // SHA-256 of the credential
+}
+
+// Settings are the settings of one daemon.
+type Settings struct {
+	Host        model.HostID   `json:"host"`
+	Region      model.Region   `json:"region"`
+	Domain      model.Domain   `json:"domain"`
+	Cell        model.CellName `json:"cell"`
+	Regions     []model.Region `json:"regions"`  // all regions of the fleet
+	Platform    string         `json:"platform"` // URL of the platform's object API
+	Peers       []string       `json:"peers"`    // peer addresses for a start without the platform
+	Listen      Listen         `json:"listen"`
+	Operators   []Operator     `json:"operators"`
+	Shards      int            `json:"shards"`
+	Drain       model.Millis   `json:"drain"`
+	Connections int            `json:"connections"`
+	Level       string         `json:"level"`
+}
+
+// Load reads, decodes and checks a settings file.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path) //#nosec G304 -- the operator names the file
+	if err != nil {
+		return nil, fault.Wrap(fault.Missing, err, "settings file cannot be read", "check the path and its permissions")
+	}
+	return Decode(data)
+}
+
+// Decode decodes and checks settings.
+func Decode(data []byte) (*Settings, error) {
+	s := &Settings{
+		Shards:      DefaultShards,
+		Drain:       DefaultDrain,
+		Connections: DefaultConnections,
+		Level:       DefaultLevel,
+	}
+	if err := model.DecodeStrict(data, s); err != nil {
+		return nil, err
+	}
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Check reports the first mistake in the settings.
+func (s *Settings) Check() error {
+	checks := []func() error{s.checkPlace, s.checkAddresses, s.checkOperators, s.checkNumbers}
+	for _, check := range checks {
+		if err := check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Settings) checkPlace() error {
+	required := []struct{ name, value string }{
+		{"host", string(s.Host)},
+		{"region", string(s.Region)},
+		{"domain", string(s.Domain)},
+		{"cell", string(s.Cell)},
+	}
+	for _, r := range required {
+		if r.value == "" {
+			return fault.Invalid(r.name, "is missing", "set it to this host's "+r.name)
+		}
+	}
+	for _, r := range s.Regions {
+		if r == s.Region {
+			return nil
+		}
+	}
+	return fault.Invalid("regions", fmt.Sprintf("does not contain %q", s.Region), "list all regions of the fleet, this host's included")
+}
+
+func (s *Settings) checkAddresses() error {
+	u, err := url.Parse(s.Platform)
+	if err != nil || u.Scheme != "http" || u.Host == "" {
+		return fault.Invalid("platform", fmt.Sprintf("%q is not an http URL", s.Platform), "write it as http://10.0.0.1:7000")
+	}
+	addresses := []struct{ name, value string }{
+		{"listen.callers", s.Listen.Callers},
+		{"listen.peers", s.Listen.Peers},
+		{"listen.admin", s.Listen.Admin},
+	}
+	for i, p := range s.Peers {
+		addresses = append(addresses, struct{ name, value string }{fmt.Sprintf("peers[%d]", i), p})
+	}
+	for _, a := range addresses {
+		host, _, err := net.SplitHostPort(a.value)
+		if err != nil || net.ParseIP(host) == nil {
+			return fault.Invalid(a.name, fmt.Sprintf("%q is not an IP address and port", a.value), "write it as 10.0.0.1:8080")
+		}
+	}
+	return nil
+}
+
+func (s *Settings) checkOperators() error {
+	if len(s.Operators) == 0 {
+		return fault.Invalid("operators", "is empty", "add the digest that `rhubarbdrift key` prints for a credential")
+	}
+	for i, o := range s.Operators {
+		if o.Name == "" || !o.Digest.Valid() {
+			return fault.Invalid(fmt.Sprintf("operators[%d]", i), "needs a name and a SHA-256 digest", "run `rhubarbdrift key` and copy the digest")
+		}
+	}
+	return nil
+}
+
+func (s *Settings) checkNumbers() error {
+	if s.Shards < 1 || s.Shards > maxShards {
+		return fault.Invalid("shards", fmt.Sprintf("must be between 1 and %d", maxShards), "remove the field for the default; all daemons need the same value")
+	}
+	if s.Drain < 0 || s.Drain > maxDrain {
+		return fault.Invalid("drain", fmt.Sprintf("must be between 0 and %d ms", maxDrain), "remove the field for the default")
+	}
+	if s.Connections < 1 {
+		return fault.Invalid("connections", "must be at least 1", "remove the field for the default")
+	}
+	if _, err := zerolog.ParseLevel(s.Level); err != nil || s.Level == "" {
+		return fault.Invalid("level", fmt.Sprintf("%q is unknown", s.Level), "use debug, info, warn or error")
+	}
+	return nil
+}
+
+// DrainTime returns the time that a planned stop waits for the balancer.
+func (s *Settings) DrainTime() time.Duration { return s.Drain.Duration() }
--- a/model/check.go
+++ b/model/check.go
@@ -17,6 +17,9 @@
 // digestLength is the number of hexadecimal digits of a SHA-256 digest.
 const digestLength = 64
 
+// unknownField starts the message of encoding/json for an unknown field.
+const unknownField = "json: unknown field "
+
 // DecodeIntent decodes JSON with comments and checks the result.
 func DecodeIntent(data []byte) (*Intent, error) {
 	in := new(Intent)
@@ -53,7 +56,15 @@
 		return fault.Invalid(fmt.Sprintf("%s, field %s", lineOf(data, kind.Offset), kind.Field),
 			"found a "+kind.Value, "give a value of type "+kind.Type.String())
 	}
-	return fault.Invalid(lineOf(data, offset), err.Error(), "remove the field or correct its name")
+	// The decoder reports an unknown field only after the whole value, so the
+	// line is that of the field's first appearance.
+	if name, ok := strings.CutPrefix(err.Error(), unknownField); ok {
+		if i := bytes.Index(data, []byte(name)); i >= 0 {
+			offset = int64(i)
+		}
+		return fault.Invalid(lineOf(data, offset), "unknown field "+name, "remove the field or correct its name")
+	}
+	return fault.Invalid(lineOf(data, offset), err.Error(), "correct the value")
 }
 
 func lineOf(data []byte, offset int64) string {
@@ -99,6 +110,11 @@
 	return seen, nil
 }
 
+// Valid reports whether d has the form of a SHA-256 digest.
+func (d Digest) Valid() bool {
+	return len(d) == digestLength && strings.Trim(string(d), "0123456789abcdef") == ""
+}
+
 // Check reports the first mistake in the customer.
 func (c *Customer) Check() error {
 	if c.ID == "" {
@@ -111,7 +127,7 @@
 		return fault.Invalid(field("customer", string(c.ID), "burst"), "must be at least 1 request", "set a burst")
 	}
 	for _, k := range c.Keys {
-		if k.ID == "" || len(k.Digest) != digestLength || strings.Trim(string(k.Digest), "0123456789abcdef") != "" {
+		if k.ID == "" || !k.Digest.Valid() {
 			return fault.Invalid(field("customer", string(c.ID), "keys"),
 				fmt.Sprintf("key %q has no id or no SHA-256 digest of %d hexadecimal digits", k.ID, digestLength),
 				"give the digest that `rhubarbdrift key` prints, never the key")
--- /dev/null
+++ b/plan/diff.go
@@ -0,0 +1,161 @@
+package plan
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+
+	"rhubarbdrift.example/model"
+)
+
+// Action says what a change does to an item.
+type Action string
+
+// The values of Action.
+const (
+	Add    Action = "add"
+	Remove Action = "remove"
+	Modify Action = "modify"
+)
+
+// Change is one difference between the base and the planned configuration.
+type Change struct {
+	Action Action `json:"action"`
+	Item   string `json:"item"`            // kind and id
+	Field  string `json:"field,omitempty"` // for Modify
+	From   string `json:"from,omitempty"`
+	To     string `json:"to,omitempty"`
+}
+
+// String returns one line of a plan as operators read it.
+func (c Change) String() string {
+	switch c.Action {
+	case Add:
+		return "+ " + c.Item + " " + c.To
+	case Remove:
+		return "- " + c.Item + " " + c.From
+	default:
+		return fmt.Sprintf("~ %s %s: %s -> %s", c.Item, c.Field, c.From, c.To)
+	}
+}
+
+// Diff returns the changes from one intent to another, in the order
+// customers, keys, routes, pools, targets.
+func Diff(from, to *model.Intent) []Change {
+	var list []Change
+	list = append(list, diffItems("customer", from.Customers, to.Customers, customerID, bareCustomer)...)
+	list = append(list, diffItems("key", keysOf(from), keysOf(to), grantID, bareGrant)...)
+	list = append(list, diffItems("route", from.Routes, to.Routes, routeID, func(r model.Route) any { return r })...)
+	list = append(list, diffItems("pool", from.Pools, to.Pools, poolID, barePool)...)
+	list = append(list, diffItems("target", targetsOf(from), targetsOf(to), targetID, func(t model.Target) any { return t })...)
+	return list
+}
+
+func keysOf(in *model.Intent) []Grant {
+	var list []Grant
+	for _, c := range in.Customers {
+		for _, k := range c.Keys {
+			list = append(list, Grant{Customer: c.ID, Key: k})
+		}
+	}
+	return list
+}
+
+func targetsOf(in *model.Intent) []model.Target {
+	var list []model.Target
+	for _, p := range in.Pools {
+		list = append(list, p.Targets...)
+	}
+	return list
+}
+
+func grantID(g Grant) string { return string(g.Customer) + "/" + string(g.Key.ID) }
+
+func bareCustomer(c model.Customer) any {
+	c.Keys = nil
+	return c
+}
+
+// bareGrant shows a key by its id only; a new digest is shown as changed.
+func bareGrant(g Grant) any {
+	return struct {
+		Digest string `json:"digest"`
+	}{string(g.Key.Digest[:min(8, len(g.Key.Digest))]) + "..."}
+}
+
+func barePool(p model.Pool) any {
+	p.Targets = nil
+	return p
+}
+
+func diffItems[T any, K ~string](kind string, from, to []T, id func(T) K, view func(T) any) []Change {
+	old := make(map[K]T, len(from))
+	for _, item := range from {
+		old[id(item)] = item
+	}
+	var list []Change
+	for _, item := range to {
+		name := kind + " " + string(id(item))
+		before, ok := old[id(item)]
+		delete(old, id(item))
+		if !ok {
+			list = append(list, Change{Action: Add, Item: name, To: render(view(item))})
+			continue
+		}
+		list = append(list, diffFields(name, view(before), view(item))...)
+	}
+	for _, item := range from {
+		if _, gone := old[id(item)]; gone {
+			list = append(list, Change{Action: Remove, Item: kind + " " + string(id(item)), From: render(view(item))})
+		}
+	}
+	return list
+}
+
+func diffFields(name string, from, to any) []Change {
+	var list []Change
+	a, b := reflect.ValueOf(from), reflect.ValueOf(to)
+	for i := range a.NumField() {
+		before, after := a.Field(i).Interface(), b.Field(i).Interface()
+		if reflect.DeepEqual(before, after) {
+			continue
+		}
+		field, _, _ := strings.Cut(a.Type().Field(i).Tag.Get("json"), ",")
+		list = append(list, Change{Action: Modify, Item: name, Field: field, From: render(before), To: render(after)})
+	}
+	return list
+}
+
+// render gives the JSON form without the fields that name the item.
+func render(value any) string {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return fmt.Sprint(value)
+	}
+	return string(data)
+}
+
+// Warnings lists what an operator should know before confirming.
+func Warnings(from, to *model.Intent) []string {
+	var list []string
+	for _, r := range to.Routes {
+		if r.Outage == model.OutageForward {
+			list = append(list, fmt.Sprintf("route %s: requests may run twice while the platform is unavailable; remedy: set outage to refuse", r.ID))
+		}
+		if r.Open && !wasOpen(from, r.ID) {
+			list = append(list, fmt.Sprintf("route %s: becomes open to callers without a key; remedy: remove open", r.ID))
+		}
+	}
+	for _, p := range to.Pools {
+		if len(p.Targets) == 0 {
+			list = append(list, fmt.Sprintf("pool %s: has no target, its routes refuse every request; remedy: add a target", p.ID))
+		}
+	}
+	return list
+}
+
+func wasOpen(in *model.Intent, id model.RouteID) bool {
+	return slices.ContainsFunc(in.Routes, func(r model.Route) bool { return r.ID == id && r.Open })
+}
--- /dev/null
+++ b/plan/edit.go
@@ -0,0 +1,167 @@
+package plan
+
+import (
+	"cmp"
+	"slices"
+
+	"rhubarbdrift.example/fault"
+	"rhubarbdrift.example/model"
+)
+
+// KeyName names one key of a customer.
+type KeyName struct {
+	Customer model.CustomerID `json:"customer"`
+	Key      model.KeyID      `json:"key"`
+}
+
+// Grant adds one key to a customer.
+type Grant struct {
+	Customer model.CustomerID `json:"customer"`
+	Key      model.Key        `json:"key"`
+}
+
+// Removal lists what an edit removes.
+type Removal struct {
+	Customers []model.CustomerID `json:"customers,omitempty"`
+	Routes    []model.RouteID    `json:"routes,omitempty"`
+	Pools     []model.PoolID     `json:"pools,omitempty"`
+	Targets   []model.TargetID   `json:"targets,omitempty"`
+}
+
+// Edit is what an operator asks for. Items with an existing id replace it.
+type Edit struct {
+	Set      model.Intent `json:"set,omitzero"`
+	Grant    []Grant      `json:"grant,omitempty"`
+	Withdraw []KeyName    `json:"withdraw,omitempty"`
+	Remove   Removal      `json:"remove,omitzero"`
+}
+
+// DecodeEdit decodes an edit from JSON with comments. The result of applying
+// it is checked by Apply.
+func DecodeEdit(data []byte) (*Edit, error) {
+	e := new(Edit)
+	if err := model.DecodeStrict(data, e); err != nil {
+		return nil, err
+	}
+	return e, nil
+}
+
+// Apply returns the checked intent that results from the edit. The base is
+// not changed.
+func (e *Edit) Apply(base *model.Intent) (*model.Intent, error) {
+	next := &model.Intent{
+		Customers: upsert(base.Customers, e.Set.Customers, customerID),
+		Routes:    upsert(base.Routes, e.Set.Routes, routeID),
+		Pools:     upsert(base.Pools, e.Set.Pools, poolID),
+	}
+	steps := []func(*model.Intent) error{e.grant, e.withdraw, e.removeItems, e.removeTargets}
+	for _, step := range steps {
+		if err := step(next); err != nil {
+			return nil, err
+		}
+	}
+	sortItems(next)
+	if err := next.Check(); err != nil {
+		return nil, err
+	}
+	return next, nil
+}
+
+func customerID(c model.Customer) model.CustomerID { return c.ID }
+func routeID(r model.Route) model.RouteID          { return r.ID }
+func poolID(p model.Pool) model.PoolID             { return p.ID }
+func targetID(t model.Target) model.TargetID       { return t.ID }
+func keyID(k model.Key) model.KeyID                { return k.ID }
+
+// upsert returns base with the items of set added or replaced by id.
+func upsert[T any, K comparable](base, set []T, id func(T) K) []T {
+	next := slices.Clone(base)
+	for _, item := range set {
+		i := slices.IndexFunc(next, func(other T) bool { return id(other) == id(item) })
+		if i < 0 {
+			next = append(next, item)
+			continue
+		}
+		next[i] = item
+	}
+	return next
+}
+
+// remove deletes the items with the ids; a missing one is an error.
+func remove[T any, K ~string](items []T, ids []K, id func(T) K, kind string) ([]T, error) {
+	for _, k := range ids {
+		i := slices.IndexFunc(items, func(item T) bool { return id(item) == k })
+		if i < 0 {
+			return nil, fault.Invalid("remove "+kind+" "+string(k), "does not exist", "check the id with `rhubarbdrift show`")
+		}
+		items = slices.Delete(slices.Clone(items), i, i+1)
+	}
+	return items, nil
+}
+
+func (e *Edit) grant(in *model.Intent) error {
+	for _, g := range e.Grant {
+		c, err := customer(in, g.Customer)
+		if err != nil {
+			return err
+		}
+		c.Keys = upsert(c.Keys, []model.Key{g.Key}, keyID)
+	}
+	return nil
+}
+
+func (e *Edit) withdraw(in *model.Intent) error {
+	for _, w := range e.Withdraw {
+		c, err := customer(in, w.Customer)
+		if err != nil {
+			return err
+		}
+		if c.Keys, err = remove(c.Keys, []model.KeyID{w.Key}, keyID, "key"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func customer(in *model.Intent, id model.CustomerID) (*model.Customer, error) {
+	i := slices.IndexFunc(in.Customers, func(c model.Customer) bool { return c.ID == id })
+	if i < 0 {
+		return nil, fault.Invalid("customer "+string(id), "does not exist", "create the customer first")
+	}
+	return &in.Customers[i], nil
+}
+
+func (e *Edit) removeItems(in *model.Intent) error {
+	var err error
+	if in.Customers, err = remove(in.Customers, e.Remove.Customers, customerID, "customer"); err != nil {
+		return err
+	}
+	if in.Routes, err = remove(in.Routes, e.Remove.Routes, routeID, "route"); err != nil {
+		return err
+	}
+	in.Pools, err = remove(in.Pools, e.Remove.Pools, poolID, "pool")
+	return err
+}
+
+func (e *Edit) removeTargets(in *model.Intent) error {
+	for _, id := range e.Remove.Targets {
+		i := slices.IndexFunc(in.Pools, func(p model.Pool) bool {
+			return slices.ContainsFunc(p.Targets, func(t model.Target) bool { return t.ID == id })
+		})
+		if i < 0 {
+			return fault.Invalid("remove target "+string(id), "does not exist", "check the id with `rhubarbdrift show`")
+		}
+		kept, err := remove(in.Pools[i].Targets, []model.TargetID{id}, targetID, "target")
+		if err != nil {
+			return err
+		}
+		in.Pools[i].Targets = kept
+	}
+	return nil
+}
+
+func sortItems(in *model.Intent) {
+	slices.SortFunc(in.Customers, func(a, b model.Customer) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(in.Routes, func(a, b model.Route) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(in.Pools, func(a, b model.Pool) int { return cmp.Compare(a.ID, b.ID) })
+}
--- /dev/null
+++ b/plan/plan_test.go
@@ -0,0 +1,69 @@
+package plan
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"rhubarbdrift.example/model"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+func digest(c string) model.Digest { return model.DigestOf([]byte(c)) }
+
+func base() *model.Intent {
+	return &model.Intent{
+		Customers: []model.Customer{{ID: "depots", Rate: 50, Burst: 20, Keys: []model.Key{{ID: "k1", Digest: digest("a")}, {ID: "k2", Digest: digest("b")}}}},
+		Pools: []model.Pool{{ID: "ledger", Floor: 0.6, Targets: []model.Target{
+			{ID: "l1", Address: "127.0.0.1:9001", Region: "north", Domain: "north-a", Slots: 6},
+			{ID: "l2", Address: "127.0.0.1:9002", Region: "north", Domain: "north-b", Slots: 6},
+		}}},
+		Routes: []model.Route{{ID: "weights", Prefix: "/weights", Pool: "ledger"}},
+	}
+}
+
+// TestDiffGolden guards against a plan that hides a change or shows a whole digest.
+func TestDiffGolden(t *testing.T) {
+	e := &Edit{
+		Set: model.Intent{
+			Customers: []model.Customer{{ID: "kiosks", Rate: 5, Burst: 5}},
+			Routes:    []model.Route{{ID: "weights", Prefix: "/weights", Pool: "ledger", Open: true, Outage: model.OutageForward}},
+		},
+		Grant:    []Grant{{Customer: "kiosks", Key: model.Key{ID: "k1", Digest: digest("c")}}},
+		Withdraw: []KeyName{{Customer: "depots", Key: "k2"}},
+		Remove:   Removal{Targets: []model.TargetID{"l2"}},
+	}
+	from := base()
+	to, err := e.Apply(from)
+	must.NoError(t, err)
+	must.Eq(t, base(), from, must.Sprint("Apply changed its base"))
+	var lines []string
+	for _, c := range Diff(from, to) {
+		lines = append(lines, c.String())
+	}
+	lines = append(lines, Warnings(from, to)...)
+	got := strings.Join(lines, "\n") + "\n"
+	if *update {
+		must.NoError(t, os.WriteFile("testdata/diff.golden", []byte(got), 0o600))
+	}
+	want, err := os.ReadFile("testdata/diff.golden")
+	must.NoError(t, err)
+	must.EqOp(t, string(want), got)
+}
+
+// TestApplyRefusesMissing guards against an edit that is applied in part.
+func TestApplyRefusesMissing(t *testing.T) {
+	edits := []*Edit{
+		{Withdraw: []KeyName{{Customer: "depots", Key: "k9"}}},
+		{Grant: []Grant{{Customer: "nobody"}}},
+		{Remove: Removal{Pools: []model.PoolID{"ledger"}}}, // still used by a route
+	}
+	for _, e := range edits {
+		_, err := e.Apply(base())
+		must.Error(t, err)
+	}
+}
