--- /dev/null
+++ b/model/verdict.go
@@ -0,0 +1,77 @@
+package model
+
+import (
+	"fmt"
+
+	"rhubarbdrift.example/fault"
+)
+
+// Finding says why a verdict was given.
+type Finding string
+
+// The values of Finding.
+const (
+	// FindFailing marks a target whose answers fail.
+	FindFailing Finding = "failing"
+	// FindSlow marks a target whose answers are slow against the others of its pool.
+	FindSlow Finding = "slow"
+	// FindDraining marks a target that says it is leaving.
+	FindDraining Finding = "draining"
+)
+
+// Verdict asks daemons to send no new work to a target.
+type Verdict struct {
+	Target   TargetID `json:"target"             cbor:"1,keyasint"`
+	Domain   Domain   `json:"domain,omitempty"   cbor:"2,keyasint,omitempty"` // daemons concerned; empty: all
+	Finding  Finding  `json:"finding"            cbor:"3,keyasint"`
+	Severity float32  `json:"severity"           cbor:"4,keyasint"`           // larger is worse; 0 to 1
+	Answers  int      `json:"answers,omitempty"  cbor:"5,keyasint,omitempty"` // evidence: answers counted
+	Bad      int      `json:"bad,omitempty"      cbor:"6,keyasint,omitempty"` // evidence: failed or slow answers
+	Base     float32  `json:"base,omitempty"     cbor:"7,keyasint,omitempty"` // evidence: bad share of the other targets
+	Score    float32  `json:"score,omitempty"    cbor:"8,keyasint,omitempty"` // evidence: log likelihood ratio
+	Times    int      `json:"times,omitempty"    cbor:"9,keyasint,omitempty"` // ejections in a row, which set the backoff
+}
+
+// VerdictSet holds all verdicts of one judge on one pool. A daemon uses the
+// set of one judge at a time and never the union of two.
+type VerdictSet struct {
+	Pool  PoolID      `json:"pool"           cbor:"1,keyasint"`
+	Judge HostID      `json:"judge"          cbor:"2,keyasint"`
+	Run   Incarnation `json:"run,omitempty"  cbor:"3,keyasint,omitempty"` // the judge's run; numbers restart with it
+	Seq   uint64      `json:"seq"            cbor:"4,keyasint"`           // increases with each set of one run
+	List  []Verdict   `json:"list,omitempty" cbor:"5,keyasint,omitempty"`
+}
+
+// maxVerdicts bounds the verdicts of a set that comes from another daemon.
+const maxVerdicts = 4096
+
+// Check reports the first mistake in the set.
+func (s *VerdictSet) Check() error {
+	if s.Pool == "" || s.Judge == "" {
+		return fault.Invalid("verdict set", "has no pool or no judge", "run the same release on all daemons")
+	}
+	if len(s.List) > maxVerdicts {
+		return fault.Invalid("verdict set of pool "+string(s.Pool), fmt.Sprintf("has more than %d verdicts", maxVerdicts), "run the same release on all daemons")
+	}
+	for _, v := range s.List {
+		if err := v.check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (v *Verdict) check() error {
+	if v.Target == "" {
+		return fault.Invalid("verdict", "has no target", "run the same release on all daemons")
+	}
+	switch v.Finding {
+	case FindFailing, FindSlow, FindDraining:
+	default:
+		return fault.Invalid(field("verdict", string(v.Target), "finding"), fmt.Sprintf("%q is unknown", v.Finding), "run the same release on all daemons")
+	}
+	if !(v.Severity >= 0 && v.Severity <= 1) {
+		return fault.Invalid(field("verdict", string(v.Target), "severity"), "must be between 0 and 1", "run the same release on all daemons")
+	}
+	return nil
+}
