--- a/pick/pool.go
+++ b/pick/pool.go
@@ -199,8 +199,8 @@
 }
 
 // sample draws a usable target. The weight acts here: in the comparison of two
-// targets it would keep a returning target without any request, and so without
-// evidence, until its weight is nearly full.
+// idle targets every weight below 1 loses alike, so that a returning target
+// would not ramp but get its whole part at the end.
 func (q *pool) sample(list []*target, need *Need, now time.Time, strict bool) *target {
 	for range drawTries {
 		t := list[q.random.IntN(len(list))]
