gate, daemon, admin, cmds: add the first path from caller to target

Cause: the packages had no program that brings them together. Change: entry handler with authentication, limits, claims, queue, choice of target, exchange and retries behind interfaces; daemon on the micro-kernel with a planned stop; administration API; operators' commands; sample edits for both deployments. Claims, queues, cells and leases are not connected yet: one daemon owns all shards, and requests that may not be repeated are refused. Measured: by hand with one daemon and the platform stand-in: plan, confirm, confirm again (repeated), status, audit, 401 without a key, planned stop with exit code 0. Conclusion: the packages of the decisions can be connected one by one.

--- /dev/null
+++ b/admin/admin.go
@@ -0,0 +1,241 @@
+package admin
+
+import (
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/valyala/fasthttp"
+
+	"rhubarbdrift.example/config"
+	"rhubarbdrift.example/fault"
+	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/plan"
+)
+
+const (
+	// callTimeout bounds one operator call, most of which are platform calls.
+	callTimeout = 10 * time.Second
+	// maxBody is the largest edit or plan in bytes.
+	maxBody = 64 << 20
+	// defaultLimit is the number of audit records that are returned.
+	defaultLimit = 20
+	maxLimit     = 1000
+)
+
+// Planner makes and confirms plans. Package plan implements it.
+type Planner interface {
+	Make(ctx context.Context, e *plan.Edit) (*plan.Plan, error)
+	Confirm(ctx context.Context, operator string, draft *plan.Plan) (*plan.Result, error)
+	Audit(ctx context.Context, limit int) ([]plan.Record, error)
+}
+
+// Source gives the state of the daemon.
+type Source interface {
+	Status() Status
+	Intent() *model.Intent
+}
+
+// API serves the operators' calls.
+type API struct {
+	planner   Planner
+	source    Source
+	operators []config.Operator
+	metrics   fasthttp.RequestHandler
+	log       zerolog.Logger
+}
+
+// Option sets an optional property of an API.
+type Option func(*API)
+
+// WithOperators sets who may use the API. Without operators nobody may.
+func WithOperators(list []config.Operator) Option {
+	return func(a *API) { a.operators = list }
+}
+
+// WithMetrics sets the handler of the metrics page.
+func WithMetrics(h fasthttp.RequestHandler) Option {
+	return func(a *API) { a.metrics = h }
+}
+
+// WithLog sets the logger.
+func WithLog(l zerolog.Logger) Option {
+	return func(a *API) { a.log = l }
+}
+
+// New returns an API.
+func New(p Planner, s Source, options ...Option) *API {
+	a := &API{planner: p, source: s, log: zerolog.Nop()}
+	for _, o := range options {
+		o(a)
+	}
+	return a
+}
+
+// Server returns a server for the API's address.
+func (a *API) Server() *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:            a.handle,
+		Name:               "rhubarbdrift",
+		MaxRequestBodySize: maxBody,
+		ReadTimeout:        callTimeout,
+		CloseOnShutdown:    true,
+	}
+}
+
+func (a *API) handle(ctx *fasthttp.RequestCtx) {
+	if a.open(ctx) {
+		return
+	}
+	operator, ok := a.authenticate(ctx)
+	if !ok {
+		a.fail(ctx, fault.New(fault.Denied, "the call has no valid operator credential",
+			"send the header Authorization: Bearer <credential>"))
+		return
+	}
+	call, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	value, err := a.call(call, ctx, operator)
+	if err != nil {
+		a.log.Warn().Str("operator", operator).Str("path", string(ctx.Path())).Err(err).Msg("operator call failed")
+		a.fail(ctx, err)
+		return
+	}
+	a.answer(ctx, value)
+}
+
+// open serves the pages that need no credential.
+func (a *API) open(ctx *fasthttp.RequestCtx) bool {
+	switch string(ctx.Path()) {
+	case "/live":
+		ctx.SetBodyString("live\n")
+	case "/ready":
+		if !a.source.Status().Ready {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			ctx.SetBodyString("not ready\n")
+			return true
+		}
+		ctx.SetBodyString("ready\n")
+	case "/metrics":
+		if a.metrics == nil {
+			return false
+		}
+		a.metrics(ctx)
+	default:
+		return false
+	}
+	return true
+}
+
+func (a *API) authenticate(ctx *fasthttp.RequestCtx) (string, bool) {
+	credential, ok := strings.CutPrefix(string(ctx.Request.Header.Peek("Authorization")), "Bearer ")
+	if !ok {
+		return "", false
+	}
+	digest := []byte(model.DigestOf([]byte(credential)))
+	for _, o := range a.operators {
+		if subtle.ConstantTimeCompare(digest, []byte(o.Digest)) == 1 {
+			return o.Name, true
+		}
+	}
+	return "", false
+}
+
+func (a *API) call(c context.Context, ctx *fasthttp.RequestCtx, operator string) (any, error) {
+	path, method := string(ctx.Path()), string(ctx.Method())
+	switch {
+	case method == "POST" && path == "/plans":
+		return a.makePlan(c, ctx.PostBody())
+	case method == "POST" && strings.HasPrefix(path, "/plans/") && strings.HasSuffix(path, "/confirm"):
+		return a.confirm(c, ctx.PostBody(), path, operator)
+	case method == "GET" && path == "/config":
+		return a.source.Intent(), nil
+	case method == "GET" && path == "/status":
+		return a.source.Status(), nil
+	case method == "GET" && path == "/audit":
+		return a.planner.Audit(c, limitOf(ctx))
+	default:
+		return nil, fault.New(fault.Missing, "there is no "+method+" "+path, "see `rhubarbdrift help` for the calls")
+	}
+}
+
+func limitOf(ctx *fasthttp.RequestCtx) int {
+	n := ctx.QueryArgs().GetUintOrZero("limit")
+	if n == 0 {
+		return defaultLimit
+	}
+	return min(n, maxLimit)
+}
+
+func (a *API) makePlan(ctx context.Context, body []byte) (*plan.Plan, error) {
+	e, err := plan.DecodeEdit(body)
+	if err != nil {
+		return nil, err
+	}
+	return a.planner.Make(ctx, e)
+}
+
+func (a *API) confirm(ctx context.Context, body []byte, path, operator string) (*plan.Result, error) {
+	draft := new(plan.Plan)
+	if err := model.DecodeStrict(body, draft); err != nil {
+		return nil, err
+	}
+	if path != "/plans/"+draft.ID+"/confirm" {
+		return nil, fault.Invalid("plan id", "is not the one in the path", "confirm the plan as it was returned")
+	}
+	r, err := a.planner.Confirm(ctx, operator, draft)
+	if err != nil {
+		return nil, err
+	}
+	a.log.Info().Str("operator", operator).Str("plan", draft.ID).
+		Uint64("version", uint64(r.Version)).Str("outcome", string(r.Outcome)).Msg("plan confirmed")
+	return r, nil
+}
+
+// Problem is the body of an error answer.
+type Problem struct {
+	Kind    fault.Kind `json:"kind"`
+	Message string     `json:"message"`
+	Remedy  string     `json:"remedy,omitempty"`
+}
+
+func statusOf(kind fault.Kind) int {
+	switch kind {
+	case fault.KindInvalid:
+		return fasthttp.StatusBadRequest
+	case fault.Denied:
+		return fasthttp.StatusUnauthorized
+	case fault.Missing:
+		return fasthttp.StatusNotFound
+	case fault.Conflict:
+		return fasthttp.StatusConflict
+	case fault.Unknown:
+		return fasthttp.StatusBadGateway
+	case fault.Unavailable:
+		return fasthttp.StatusServiceUnavailable
+	default:
+		return fasthttp.StatusInternalServerError
+	}
+}
+
+func (a *API) fail(ctx *fasthttp.RequestCtx, err error) {
+	kind := fault.KindOf(err)
+	ctx.SetStatusCode(statusOf(kind))
+	if kind == fault.Denied {
+		ctx.Response.Header.Set("WWW-Authenticate", "Bearer")
+	}
+	a.answer(ctx, Problem{Kind: kind, Message: err.Error(), Remedy: fault.Remedy(err)})
+}
+
+func (a *API) answer(ctx *fasthttp.RequestCtx, value any) {
+	data, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		ctx.Error("the answer cannot be encoded", fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(append(data, '\n'))
+}
--- /dev/null
+++ b/cmds/client.go
@@ -0,0 +1,64 @@
+package cmds
+
+import (
+	"encoding/json"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+	"github.com/valyala/fasthttp"
+
+	"rhubarbdrift.example/admin"
+	"rhubarbdrift.example/fault"
+)
+
+const (
+	// credentialVariable names the environment variable with the operator's
+	// credential, which a command line would show to other users of the host.
+	credentialVariable = "RHUBARBDRIFT_CREDENTIAL"
+	// adminTimeout bounds one call to the administration API.
+	adminTimeout = 15 * time.Second
+	// defaultAdmin is the address of the administration API in the samples.
+	defaultAdmin = "127.0.0.1:8082"
+)
+
+// adminFlag adds the flag that names a daemon's administration API.
+func adminFlag(c *cobra.Command) *string {
+	return c.Flags().String("admin", defaultAdmin, "address of a daemon's administration API, IP address and port")
+}
+
+// callAdmin calls the administration API of a daemon and decodes the answer.
+func callAdmin[A any](address, method, path string, body []byte) (*A, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + address + path)
+	req.Header.SetMethod(method)
+	req.Header.Set("Authorization", "Bearer "+os.Getenv(credentialVariable))
+	req.SetBody(body)
+	// A lost answer must not make the client repeat a confirmation by itself.
+	client := &fasthttp.Client{MaxIdemponentCallAttempts: 1}
+	if err := client.DoTimeout(req, resp, adminTimeout); err != nil {
+		return nil, fault.Wrap(fault.Unknown, err, "the administration API at "+address+" gave no answer",
+			"check the address with --admin; run the command again, which is harmless")
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return nil, problem(resp.Body())
+	}
+	answer := new(A)
+	if err := json.Unmarshal(resp.Body(), answer); err != nil {
+		return nil, fault.Wrap(fault.KindInvalid, err, "the administration API's answer cannot be decoded", "use the same version of the program and the daemons")
+	}
+	return answer, nil
+}
+
+func problem(body []byte) error {
+	p := new(admin.Problem)
+	if err := json.Unmarshal(body, p); err != nil {
+		return fault.Wrap(fault.KindInvalid, err, "the administration API's error cannot be decoded", "use the same version of the program and the daemons")
+	}
+	if p.Kind == fault.Denied {
+		return fault.New(p.Kind, "the operator credential was refused", "set "+credentialVariable+" to a credential whose digest is in the daemon's settings")
+	}
+	return fault.New(p.Kind, "the daemon refused: "+p.Message, p.Remedy)
+}
--- /dev/null
+++ b/cmds/platform.go
@@ -0,0 +1,51 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+
+	"rhubarbdrift.example/fault"
+	"rhubarbdrift.example/plat"
+)
+
+func newPlatform() *cobra.Command {
+	c := &cobra.Command{
+		Use:   "platform",
+		Short: "Run the stand-in for the platform's object API",
+		Long: `platform serves the platform's object API from memory: versions, conditional
+updates, watches and the lagging host list. It is for trials and the demo. PUT
+/faults makes it slow, gone, or lose answers; GET /calls counts the calls.`,
+		Args: cobra.NoArgs,
+	}
+	listen := c.Flags().String("listen", "127.0.0.1:7000", "IP address and port to listen on")
+	lag := c.Flags().Duration("lag", time.Second, "how far the host list lags behind reality")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		s := plat.New(plat.WithLag(*lag))
+		return serve(c.Context(), *listen, s.Serve, s.Stop)
+	}
+	return c
+}
+
+// serve listens on the address and serves until ctx ends.
+func serve(ctx context.Context, address string, run func(net.Listener) error, stop func() error) error {
+	var lc net.ListenConfig
+	ln, err := lc.Listen(ctx, "tcp", address)
+	if err != nil {
+		return fault.Wrap(fault.Unavailable, err, "cannot listen on "+address, "use a free port of this host")
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return run(ln) })
+	g.Go(func() error {
+		<-ctx.Done()
+		return stop()
+	})
+	if err := g.Wait(); err != nil {
+		return fmt.Errorf("server on %s: %w", address, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmds/root.go
@@ -0,0 +1,89 @@
+// Package cmds holds the commands of the rhubarbdrift program, one per file.
+//
+// # Usage
+//
+//	os.Exit(cmds.Execute())
+//
+// # Exit codes
+//
+//	0  success
+//	1  the command failed; the message names the remedy
+//	2  the command line was wrong
+//	3  a conflict: plan again
+//	4  the outcome of a change is unknown: run the command again
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"rhubarbdrift.example/fault"
+)
+
+// The exit codes of the program.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitUsage    = 2
+	exitConflict = 3
+	exitUnknown  = 4
+)
+
+// usageKind marks errors of the command line.
+const usageKind fault.Kind = "usage"
+
+// Execute runs the command line and returns the exit code.
+func Execute() int {
+	// A second signal has no effect: a planned stop is never cut short by it.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	err := newRoot().ExecuteContext(ctx)
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintln(os.Stderr, "rhubarbdrift:", err)
+	return exitCode(err)
+}
+
+func exitCode(err error) int {
+	switch fault.KindOf(err) {
+	case usageKind:
+		return exitUsage
+	case fault.Conflict:
+		return exitConflict
+	case fault.Unknown:
+		return exitUnknown
+	default:
+		return exitFailed
+	}
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:   "rhubarbdrift",
+		Short: "A proxy fleet for targets with gray failures",
+		Long: `rhubarbdrift runs between callers and targets that turn slow, half-broken or
+dishonest about their health. All daemons of a fleet are equal; what must last
+is kept by the platform's object API.
+
+Operators change the configuration by a plan: "plan" shows what an edit would
+change, "confirm" puts it in force.
+
+Exit codes: 0 success; 1 failure; 2 wrong command line; 3 conflict, plan again;
+4 the outcome of a change is unknown, run the command again.`,
+		SilenceErrors: true,
+		SilenceUsage:  true,
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
+		return fault.Wrap(usageKind, err, "wrong command line", "see the command's --help")
+	})
+	root.AddCommand(newDaemon(), newCheck(), newKey(), newVersion(),
+		newPlan(), newConfirm(), newShow(), newStatus(), newAudit(),
+		newPlatform())
+	return root
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,106 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"rhubarbdrift.example/conf"
+	"rhubarbdrift.example/config"
+	"rhubarbdrift.example/gate"
+	"rhubarbdrift.example/kern"
+	"rhubarbdrift.example/meter"
+	"rhubarbdrift.example/model"
+)
+
+// progressLimit bounds the wait for running requests after the listeners are
+// closed. Exchanges without progress end by themselves much earlier, so it
+// only ends a stop that waits for an endless answer.
+const progressLimit = time.Hour
+
+// Daemon is one entry host of the fleet.
+type Daemon struct {
+	settings    *config.Settings
+	incarnation model.Incarnation
+	release     string
+	log         zerolog.Logger
+	kernel      *kern.Kernel
+	meter       *meter.Meter
+	state       state
+}
+
+// Option sets an optional property of a Daemon.
+type Option func(*Daemon)
+
+// WithLog sets the logger.
+func WithLog(l zerolog.Logger) Option {
+	return func(d *Daemon) { d.log = l }
+}
+
+// WithRelease sets the program's version for the log.
+func WithRelease(version string) Option {
+	return func(d *Daemon) { d.release = version }
+}
+
+// New builds a daemon from checked settings. It opens no address yet.
+func New(s *config.Settings, options ...Option) (*Daemon, error) {
+	d := &Daemon{
+		settings:    s,
+		incarnation: model.Incarnation(uuid.NewString()),
+		log:         zerolog.Nop(),
+		kernel:      kern.New(),
+		meter:       meter.New(),
+	}
+	for _, o := range options {
+		o(d)
+	}
+	if err := d.build(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// Run serves until ctx ends, then makes a planned stop.
+func (d *Daemon) Run(ctx context.Context) error {
+	d.log.Info().Str("release", d.release).Str("region", string(d.settings.Region)).
+		Str("domain", string(d.settings.Domain)).Msg("daemon started")
+	// The services outlive ctx: they end only after the planned stop.
+	base, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	g, base := errgroup.WithContext(base)
+	g.Go(func() error { return d.kernel.Run(base) })
+	g.Go(func() error {
+		defer cancel()
+		select {
+		case <-ctx.Done():
+			return d.stop()
+		case <-base.Done():
+			return nil
+		}
+	})
+	err := g.Wait()
+	_ = d.meter.Close()
+	d.log.Info().Err(err).Msg("daemon stopped")
+	return err
+}
+
+// stop makes the planned stop. It cuts off no request.
+func (d *Daemon) stop() error {
+	d.log.Info().Dur("drain", d.settings.DrainTime()).Msg("planned stop started")
+	d.state.stopping.Store(true)
+	g, err := kern.Find[*gate.Gate](d.kernel, nameGate)
+	if err != nil {
+		return err
+	}
+	g.Drain()
+	time.Sleep(d.settings.DrainTime())
+	ctx, cancel := context.WithTimeout(context.Background(), progressLimit)
+	defer cancel()
+	return d.kernel.Stop(ctx)
+}
+
+// snapshot returns the configuration in force, or nil.
+func (d *Daemon) snapshot() *conf.Snapshot { return d.state.holder.Current() }
--- /dev/null
+++ b/gate/call.go
@@ -0,0 +1,241 @@
+package gate
+
+import (
+	"bytes"
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"rhubarbdrift.example/conf"
+	"rhubarbdrift.example/fault"
+	"rhubarbdrift.example/model"
+)
+
+const (
+	// admitWait bounds the time that a request waits for a token.
+	admitWait = 60 * time.Millisecond
+	// claimWait bounds the time that a request waits for its claim.
+	claimWait = time.Second
+	// limitRetry is the Retry-After of refusals without a better estimate.
+	limitRetry = time.Second
+)
+
+// call is one request on its way through the gate.
+type call struct {
+	gate     *Gate
+	ctx      *fasthttp.RequestCtx
+	start    time.Time
+	deadline time.Time
+	snapshot *conf.Snapshot
+	route    *model.Route
+	pool     *model.Pool
+	customer *model.Customer // nil on open routes
+	digest   model.Digest    // of the caller's key
+	token    Token
+	claim    Claim
+	tried    []model.TargetID
+	domains  []model.Domain
+}
+
+// serve answers the request or returns the refusal to send.
+func (c *call) serve() *Refusal {
+	steps := []func() *Refusal{c.shape, c.find, c.authenticate, c.admit, c.record}
+	for _, step := range steps {
+		if r := step(); r != nil {
+			return c.giveUp(r)
+		}
+	}
+	return c.run()
+}
+
+// shape refuses malformed requests.
+func (c *call) shape() *Refusal {
+	if problem := badShape(&c.ctx.Request.Header); problem != "" {
+		return refusal(KindBad, NotRun, "the request is malformed: "+problem, "send one unambiguous HTTP/1.1 request")
+	}
+	return nil
+}
+
+// find looks up the route and its pool and computes the deadline.
+func (c *call) find() *Refusal {
+	c.snapshot = c.gate.parts.Snapshot()
+	if c.snapshot == nil {
+		return refusal(KindStale, NotRun, "this daemon has no configuration yet", "retry later").after(limitRetry)
+	}
+	host, _, _ := strings.Cut(strings.ToLower(string(c.ctx.Host())), ":")
+	route, ok := c.snapshot.Route(host, string(c.ctx.Path()))
+	if !ok {
+		return refusal(KindRoute, NotRun, "no route matches the host and path", "check the URL")
+	}
+	c.route = route
+	c.pool, ok = c.snapshot.Pool(route.Pool)
+	if !ok {
+		return refusal(KindRoute, NotRun, "the route has no pool", "check the URL")
+	}
+	if len(c.ctx.Request.Body()) > route.MaxBody() {
+		return refusal(KindLarge, NotRun, "the request body is above the route's limit", "send a smaller body")
+	}
+	return c.setDeadline()
+}
+
+func (c *call) setDeadline() *Refusal {
+	limit := c.route.Timeout()
+	if value := c.ctx.Request.Header.Peek(HeaderDeadline); len(value) > 0 {
+		asked, err := strconv.ParseInt(string(value), 10, 64)
+		if err != nil || asked <= 0 {
+			return refusal(KindBad, NotRun, HeaderDeadline+" is not a positive number of milliseconds", "correct or remove the header")
+		}
+		limit = min(limit, model.Millis(asked))
+	}
+	c.deadline = c.start.Add(limit.Duration())
+	return nil
+}
+
+// authenticate finds the customer of the key and removes the key.
+func (c *call) authenticate() *Refusal {
+	key := c.ctx.Request.Header.Peek(HeaderKey)
+	if len(key) > 0 {
+		c.digest = model.DigestOf(key)
+	}
+	c.ctx.Request.Header.Del(HeaderKey)
+	if c.route.Open {
+		return nil
+	}
+	if !c.gate.parts.Fresh() {
+		return stale()
+	}
+	customer, ok := c.holder(c.snapshot)
+	if !ok {
+		return refusal(KindKey, NotRun, "the route needs a valid key in "+HeaderKey, "ask an operator for a key")
+	}
+	c.customer = customer
+	return nil
+}
+
+func stale() *Refusal {
+	return refusal(KindStale, NotRun, "this daemon may hold an old configuration", "retry, which may reach another daemon").after(limitRetry)
+}
+
+// holder returns the customer that may use the route with the caller's key.
+func (c *call) holder(s *conf.Snapshot) (*model.Customer, bool) {
+	customer, _, ok := s.Key(c.digest)
+	if !ok || !c.route.Allows(customer.ID) {
+		return nil, false
+	}
+	return customer, true
+}
+
+// recheck consults the newest configuration again, since the request may have
+// waited: a key withdrawn in the meantime does not work any more.
+func (c *call) recheck() *Refusal {
+	if c.customer == nil {
+		return nil
+	}
+	if !c.gate.parts.Fresh() {
+		return stale()
+	}
+	now, ok := c.holder(c.gate.parts.Snapshot())
+	if !ok || now.ID != c.customer.ID {
+		return refusal(KindKey, NotRun, "the key was withdrawn", "ask an operator for a key")
+	}
+	if c.token.Valid() {
+		return nil
+	}
+	if r := c.admit(); r != nil {
+		return r
+	}
+	if !c.token.Valid() {
+		return refusal(KindLimit, NotRun, "no token stayed valid until the request could be sent", "retry").after(limitRetry)
+	}
+	return nil
+}
+
+// admit takes a token of the customer's rate and burst.
+func (c *call) admit() *Refusal {
+	if c.customer == nil {
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), c.earliest(admitWait))
+	defer cancel()
+	token, err := c.gate.parts.Limiter.Admit(ctx, c.customer)
+	if err == nil {
+		c.token = token
+		return nil
+	}
+	if fault.Is(err, fault.Limited) {
+		return refusal(KindLimit, NotRun, "the customer is above its rate and burst", "slow down").after(waitOf(err))
+	}
+	return refusal(KindBusy, NotRun, "the customer's limit could not be checked", "retry").after(limitRetry)
+}
+
+// earliest returns the deadline, or the time after d if that comes first.
+func (c *call) earliest(d time.Duration) time.Time {
+	if t := time.Now().Add(d); t.Before(c.deadline) {
+		return t
+	}
+	return c.deadline
+}
+
+// repeatable reports whether the request may be sent to a target again.
+func (c *call) repeatable() bool {
+	return c.route.Repeatable(string(c.ctx.Method()))
+}
+
+// record claims a request that may not be repeated before any byte is sent.
+func (c *call) record() *Refusal {
+	if c.repeatable() {
+		return nil
+	}
+	key := c.ctx.Request.Header.Peek(HeaderIdempotency)
+	if len(key) == 0 {
+		return refusal(KindBad, NotRun, "the request may not be repeated and has no "+HeaderIdempotency,
+			"send an id that is the same when the request is sent again")
+	}
+	var id model.CustomerID
+	if c.customer != nil {
+		id = c.customer.ID
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), c.earliest(claimWait))
+	defer cancel()
+	claim, err := c.gate.parts.Claims.Begin(ctx, id, string(key), c.fingerprint())
+	if err == nil {
+		c.claim = claim
+		return nil
+	}
+	if fault.Is(err, fault.Unavailable) && c.route.Outage == model.OutageForward {
+		return nil
+	}
+	return claimRefusal(err)
+}
+
+// fingerprint identifies the request's content, so that an idempotency key is
+// not taken for that of another request.
+func (c *call) fingerprint() model.Digest {
+	r := &c.ctx.Request
+	return model.DigestOf(bytes.Join([][]byte{r.Header.Method(), r.Header.RequestURI(), r.Body()}, []byte{0}))
+}
+
+// giveUp returns the token and the claim of a request that was not run. If the
+// claim cannot be released, a repeat would be refused as open, so the refusal
+// does not say "not run".
+func (c *call) giveUp(r *Refusal) *Refusal {
+	if r.Run != NotRun {
+		return r
+	}
+	if c.token != nil {
+		c.token.Cancel()
+	}
+	if c.claim == nil {
+		return r
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), claimWait)
+	defer cancel()
+	if err := c.claim.Release(ctx); err != nil {
+		c.gate.log.Warn().Err(err).Str("route", string(c.route.ID)).Msg("claim of a request that was not run stays open")
+		return refusal(KindOpen, Unknown, r.Message+"; its claim could not be released", "ask an operator before sending it with a new "+HeaderIdempotency)
+	}
+	return r
+}
--- /dev/null
+++ b/gate/run.go
@@ -0,0 +1,209 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"rhubarbdrift.example/exch"
+	"rhubarbdrift.example/fault"
+	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/pick"
+	"rhubarbdrift.example/quota"
+)
+
+// run sends the request to targets until one answers or the refusal is final.
+func (c *call) run() *Refusal {
+	c.gate.budget.request(c.pool.ID)
+	for attempt := 0; ; attempt++ {
+		hold, release, r := c.acquire()
+		if r != nil {
+			return c.giveUp(r)
+		}
+		if r := c.recheck(); r != nil {
+			hold.Done(pick.Slow) // frees the slot without raising the target's limit
+			release()
+			return c.giveUp(r)
+		}
+		out := c.exchange(hold, release)
+		if c.again(&out, attempt) {
+			c.ctx.Response.Reset()
+			continue
+		}
+		return c.finish(&out)
+	}
+}
+
+// acquire waits for the pool's queue and a target with a free slot.
+func (c *call) acquire() (*pick.Hold, func(), *Refusal) {
+	ctx, cancel := context.WithDeadline(context.Background(), c.deadline)
+	defer cancel()
+	release, err := c.gate.parts.Queues.Enter(ctx, c.pool.ID, c.customer, c.deadline)
+	if err != nil {
+		return nil, nil, capacityRefusal(err)
+	}
+	need := pick.Need{Pool: c.pool.ID, Deadline: c.deadline, Tried: c.tried, Domains: c.domains}
+	for {
+		free := c.gate.parts.Picker.Free(c.pool.ID)
+		hold, err := c.gate.parts.Picker.Pick(need)
+		if err == nil {
+			return hold, release, nil
+		}
+		if !fault.Is(err, pick.KindBusy) || !waitFree(ctx, free) {
+			release()
+			return nil, nil, capacityRefusal(err)
+		}
+	}
+}
+
+func waitFree(ctx context.Context, free <-chan struct{}) bool {
+	select {
+	case <-free:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// exchange sends the request to the target of the hold. The answer's body may
+// still be read by the caller when it returns.
+func (c *call) exchange(hold *pick.Hold, release func()) exch.Outcome {
+	target := hold.Target()
+	c.tried = append(c.tried, target.ID)
+	c.domains = append(c.domains, target.Domain)
+	req := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(req)
+	c.prepare(req)
+	started := time.Now()
+	c.gate.begin()
+	ctx, cancel := context.WithDeadline(context.Background(), c.deadline)
+	return c.gate.parts.Exchange.Stream(ctx, target, req, &c.ctx.Response, func(end exch.Outcome) {
+		cancel()
+		hold.Done(resultOf(&end))
+		release()
+		c.observe(target.ID, end, time.Since(started))
+		c.gate.end()
+	})
+}
+
+// prepare copies the request without what is not meant for the target.
+func (c *call) prepare(req *fasthttp.Request) {
+	c.ctx.Request.CopyTo(req)
+	removeHop(&req.Header)
+	req.Header.Del(HeaderKey)
+	req.Header.Add("X-Forwarded-For", c.ctx.RemoteIP().String())
+}
+
+func (c *call) observe(target model.TargetID, end exch.Outcome, elapsed time.Duration) {
+	s := Sample{Pool: c.pool.ID, Target: target, Route: c.route.ID, Outcome: end, Elapsed: elapsed}
+	if c.customer != nil {
+		s.Customer = c.customer.ID
+	}
+	c.gate.parts.Observe(s)
+}
+
+func resultOf(end *exch.Outcome) pick.Result {
+	switch {
+	case end.Draining:
+		return pick.Draining
+	case end.Class == exch.Shed:
+		return pick.Shed
+	case end.Class == exch.Silent:
+		return pick.Silent
+	case end.Class != exch.Whole || end.Status >= fasthttp.StatusInternalServerError:
+		return pick.Failed
+	default:
+		return pick.Whole
+	}
+}
+
+// again reports whether the request is sent to another target.
+func (c *call) again(out *exch.Outcome, attempt int) bool {
+	if attempt >= maxRetries || !time.Now().Before(c.deadline) {
+		return false
+	}
+	if !out.NotRun() && !c.repeatable() {
+		return false
+	}
+	if out.Class == exch.Whole && out.Status < fasthttp.StatusInternalServerError {
+		return false
+	}
+	if !c.gate.budget.retry(c.pool.ID) {
+		return false
+	}
+	c.gate.counters.retries.Inc(1)
+	return true
+}
+
+// finish gives the caller the target's answer or a refusal.
+func (c *call) finish(out *exch.Outcome) *Refusal {
+	switch out.Class {
+	case exch.Whole:
+		c.answered(out.Status)
+		return nil
+	case exch.Shed:
+		return c.giveUp(refusal(KindBusy, NotRun, "the targets shed load", "retry later").after(limitRetry))
+	case exch.NotRun:
+		return c.giveUp(refusal(KindTarget, NotRun, "no target could be reached", "retry later").after(limitRetry))
+	case exch.Silent:
+		return refusal(KindLate, Unknown, "the target did not answer in time", c.unknownRemedy())
+	default:
+		return refusal(KindTarget, Unknown, "the target's answer was lost", c.unknownRemedy())
+	}
+}
+
+func (c *call) unknownRemedy() string {
+	if c.repeatable() {
+		return "retry"
+	}
+	return "send it again with the same " + HeaderIdempotency + ", or ask the target's owner whether it was run"
+}
+
+// answered passes the target's answer on. Its body may still be streaming.
+func (c *call) answered(status int) {
+	c.gate.counters.whole.Inc(1)
+	h := &c.ctx.Response.Header
+	removeHop(h)
+	h.Del(exch.HeaderDrain)
+	h.Del(exch.HeaderShed)
+	if c.claim == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), claimWait)
+	defer cancel()
+	if err := c.claim.Done(ctx, status); err != nil {
+		c.gate.log.Warn().Err(err).Str("route", string(c.route.ID)).Msg("claim stays open though the request was answered")
+	}
+}
+
+// capacityRefusal says why no target was found. The request was not run.
+func capacityRefusal(err error) *Refusal {
+	if fault.Is(err, fault.Late) || errors.Is(err, context.DeadlineExceeded) {
+		return refusal(KindLate, NotRun, "the deadline passed before a target was free", "retry later or allow more time").after(limitRetry)
+	}
+	return refusal(KindBusy, NotRun, "no target has free capacity", "retry later").after(limitRetry)
+}
+
+// waitOf returns the Retry-After of a refusal by the limiter.
+func waitOf(err error) time.Duration {
+	if w := quota.WaitOf(err); w > 0 {
+		return w
+	}
+	return limitRetry
+}
+
+// claimRefusal says why the claim of a request could not be taken.
+func claimRefusal(err error) *Refusal {
+	switch fault.KindOf(err) {
+	case fault.Kind(KindOpen):
+		return refusal(KindOpen, Unknown, "the same request is running, or its outcome is unknown", "wait for the first answer, or ask the target's owner whether it was run")
+	case fault.Kind(KindDone):
+		return refusal(KindDone, Unknown, "the same request was run before: "+err.Error(), "do not send it again")
+	case fault.Kind(KindMismatch):
+		return refusal(KindMismatch, NotRun, "another request used the same "+HeaderIdempotency, "use a new id for each request")
+	default:
+		return refusal(KindUnclaimed, NotRun, "the request could not be recorded, so it was not sent", "retry later").after(limitRetry)
+	}
+}
--- a/main.go
+++ b/main.go
@@ -1,4 +1,13 @@
-// Command rhubarbdrift is a proxy fleet between callers and targets with gray failures.
+// Command rhubarbdrift is a proxy fleet between callers and targets with gray
+// failures. See package cmds for its commands and docs/design.md for its design.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"rhubarbdrift.example/cmds"
+)
+
+func main() {
+	os.Exit(cmds.Execute())
+}
--- /dev/null
+++ b/plan/plan.go
@@ -0,0 +1,217 @@
+package plan
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"rhubarbdrift.example/conf"
+	"rhubarbdrift.example/fault"
+	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/store"
+)
+
+// Plan is what an operator confirms. It needs no storage: its id is the digest
+// of its base version and its edit.
+type Plan struct {
+	ID       string              `json:"id"`
+	Base     model.ConfigVersion `json:"base"` // version that the changes were computed from
+	Edit     Edit                `json:"edit"`
+	Changes  []Change            `json:"changes"`
+	Warnings []string            `json:"warnings,omitempty"`
+}
+
+// Outcome says how a confirmation ended.
+type Outcome string
+
+// The values of Outcome.
+const (
+	// Committed means that the change took effect with this confirmation.
+	Committed Outcome = "committed"
+	// Repeated means that the plan had been committed before.
+	Repeated Outcome = "repeated"
+)
+
+// Result is the answer to a confirmation.
+type Result struct {
+	Version model.ConfigVersion `json:"version"` // the version that holds the change, or a later one if Repeated
+	Outcome Outcome             `json:"outcome"`
+}
+
+// Record is one entry of the audit trail. Keys appear by id only.
+type Record struct {
+	Change   string              `json:"change"` // id of the plan
+	Operator string              `json:"operator"`
+	Time     time.Time           `json:"time"`
+	From     model.ConfigVersion `json:"from"`
+	To       model.ConfigVersion `json:"to"`
+	Changes  []Change            `json:"changes"`
+	Outcome  Outcome             `json:"outcome"`
+	Previous model.Digest        `json:"previous,omitempty"`
+}
+
+// Planner makes and confirms plans. All state is in the platform.
+type Planner struct {
+	store store.Store
+	clock model.Clock
+}
+
+// Option sets an optional property of a Planner.
+type Option func(*Planner)
+
+// WithClock sets the clock of audit records.
+func WithClock(c model.Clock) Option {
+	return func(p *Planner) { p.clock = c }
+}
+
+// New returns a planner on the platform.
+func New(s store.Store, options ...Option) *Planner {
+	p := &Planner{store: s, clock: time.Now}
+	for _, o := range options {
+		o(p)
+	}
+	return p
+}
+
+// state is the configuration that a plan starts from.
+type state struct {
+	intent *model.Intent
+	root   conf.Root
+	at     store.Version
+}
+
+// load reads the newest configuration; before the first change it is empty.
+func (p *Planner) load(ctx context.Context) (*state, error) {
+	snapshot, at, err := conf.Load(ctx, p.store)
+	if fault.Is(err, fault.Missing) {
+		return &state{intent: new(model.Intent)}, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &state{intent: snapshot.Intent(), root: snapshot.Root(), at: at}, nil
+}
+
+// Make plans an edit against the newest configuration. It changes nothing.
+func (p *Planner) Make(ctx context.Context, e *Edit) (*Plan, error) {
+	base, err := p.load(ctx)
+	if err != nil {
+		return nil, err
+	}
+	next, err := e.Apply(base.intent)
+	if err != nil {
+		return nil, err
+	}
+	id, err := identify(base.root.Version, e)
+	if err != nil {
+		return nil, err
+	}
+	return &Plan{
+		ID:       id,
+		Base:     base.root.Version,
+		Edit:     *e,
+		Changes:  Diff(base.intent, next),
+		Warnings: Warnings(base.intent, next),
+	}, nil
+}
+
+func identify(base model.ConfigVersion, e *Edit) (string, error) {
+	data, err := json.Marshal(e)
+	if err != nil {
+		return "", fault.Wrap(fault.KindInvalid, err, "the edit cannot be encoded", "report this error")
+	}
+	return string(model.DigestOf(fmt.Appendf(data, " base %d", base))), nil
+}
+
+// Confirm commits a plan. The error has kind fault.Conflict if the
+// configuration changed since the plan was made, and fault.Unknown if the
+// platform could not be asked whether the change took effect; confirming again
+// is then the remedy and harmless.
+func (p *Planner) Confirm(ctx context.Context, operator string, draft *Plan) (*Result, error) {
+	id, err := identify(draft.Base, &draft.Edit)
+	if err != nil {
+		return nil, err
+	}
+	if id != draft.ID {
+		return nil, fault.Invalid("plan id", "does not match the plan's base and edit", "confirm the plan as it was returned")
+	}
+	base, err := p.load(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if base.root.Made(id) {
+		return &Result{Version: base.root.Version, Outcome: Repeated}, nil
+	}
+	if base.root.Version != draft.Base {
+		return nil, fault.New(fault.Conflict,
+			fmt.Sprintf("the plan is based on version %d, the configuration is at version %d", draft.Base, base.root.Version),
+			"plan again and review the new changes")
+	}
+	return p.commit(ctx, operator, draft, base)
+}
+
+func (p *Planner) commit(ctx context.Context, operator string, draft *Plan, base *state) (*Result, error) {
+	next, err := draft.Edit.Apply(base.intent)
+	if err != nil {
+		return nil, err
+	}
+	version := base.root.Version + 1
+	record, err := json.Marshal(Record{
+		Change:   draft.ID,
+		Operator: operator,
+		Time:     p.clock().UTC(),
+		From:     base.root.Version,
+		To:       version,
+		Changes:  Diff(base.intent, next),
+		Outcome:  Committed,
+		Previous: base.root.Audit,
+	})
+	if err != nil {
+		return nil, fault.Wrap(fault.KindInvalid, err, "the audit record cannot be encoded", "report this error")
+	}
+	root, chunks, err := conf.Build(next, version, model.DigestOf(record), draft.ID)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := conf.Commit(ctx, p.store, base.at, root, chunks, record); err != nil {
+		return nil, err
+	}
+	return &Result{Version: version, Outcome: Committed}, nil
+}
+
+// Audit returns the newest records of the audit trail, newest first, at most limit.
+func (p *Planner) Audit(ctx context.Context, limit int) ([]Record, error) {
+	root, _, err := conf.ReadRoot(ctx, p.store)
+	if fault.Is(err, fault.Missing) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	var list []Record
+	for next := root.Audit; next != "" && len(list) < limit; {
+		r, err := p.record(ctx, next)
+		if err != nil {
+			return list, err
+		}
+		list = append(list, *r)
+		next = r.Previous
+	}
+	return list, nil
+}
+
+func (p *Planner) record(ctx context.Context, d model.Digest) (*Record, error) {
+	o, err := p.store.Get(ctx, store.KindAudit, string(d))
+	if err != nil {
+		return nil, err
+	}
+	if model.DigestOf(o.Value) != d {
+		return nil, fault.Invalid("audit record "+string(d), "does not match its digest", "restore the record from the platform's backup")
+	}
+	r := new(Record)
+	if err := json.Unmarshal(o.Value, r); err != nil {
+		return nil, fault.Wrap(fault.KindInvalid, err, "audit record "+string(d)+" cannot be decoded", "restore the record from the platform's backup")
+	}
+	return r, nil
+}
