--- /dev/null
+++ b/origin/origin_test.go
@@ -0,0 +1,159 @@
+package origin
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
+
+	"rhubarbdrift.example/exch"
+	"rhubarbdrift.example/model"
+)
+
+type bench struct {
+	*Server
+	t      *testing.T
+	target *model.Target
+	client *exch.Client
+}
+
+func start(t *testing.T, options ...Option) *bench {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	b := &bench{Server: New(options...), t: t, client: exch.New(),
+		target: &model.Target{Address: ln.Addr().String()}}
+	done := make(chan error)
+	go func() { done <- b.Serve(ln) }()
+	t.Cleanup(func() {
+		b.client.Close()
+		test.NoError(t, b.Stop(context.WithoutCancel(t.Context())))
+		test.NoError(t, <-done)
+	})
+	return b
+}
+
+func (b *bench) ask(ctx context.Context, method, uri, id string) (exch.Outcome, *fasthttp.Response) {
+	var req fasthttp.Request
+	resp := new(fasthttp.Response)
+	req.Header.SetMethod(method)
+	req.SetRequestURI(uri)
+	req.Header.SetHost("target")
+	req.Header.Set(HeaderRequest, id)
+	return b.client.Do(ctx, b.target, &req, resp), resp
+}
+
+func until(ready func() bool) {
+	for !ready() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestFaults guards against a switch that does not show its fault, which
+// would let a test of the fleet pass without having met it.
+func TestFaults(t *testing.T) {
+	for name, row := range map[string]struct {
+		faults  Faults
+		class   exch.Class
+		status  int
+		started int
+		done    int
+	}{
+		"none":         {Faults{}, exch.Whole, 200, 1, 1},
+		"slow":         {Faults{Slow: 2}, exch.Whole, 200, 1, 1},
+		"late":         {Faults{Late: 2}, exch.Whole, 200, 1, 1},
+		"fail":         {Faults{Fail: 1}, exch.Whole, 500, 0, 0},
+		"other path":   {Faults{Fail: 1, Paths: []string{"/artwork"}}, exch.Whole, 200, 1, 1},
+		"other caller": {Faults{Fail: 1, Customers: []model.CustomerID{"x"}}, exch.Whole, 200, 1, 1},
+		"lose":         {Faults{Lose: 1}, exch.Unknown, 0, 1, 1},
+		"truncate":     {Faults{Truncate: 1}, exch.Broken, 200, 1, 1},
+		"bare":         {Faults{Bare: 1}, exch.Whole, 200, 1, 1},
+		"shed":         {Faults{Shed: true, Drain: true}, exch.Shed, 503, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := start(t, WithFaults(row.faults))
+			out, resp := b.ask(t.Context(), "POST", "/orders?size=100000", "r1")
+			test.Eq(t, row.class, out.Class)
+			test.Eq(t, row.status, out.Status)
+			test.Eq(t, row.faults.Drain, out.Draining)
+			if out.Class == exch.Whole && out.Status == 200 {
+				test.Eq(t, "r1", string(resp.Header.Peek(HeaderRequest)))
+				test.Len(t, 100000, resp.Body())
+				test.True(t, Matches("r1", resp.Body()))
+				test.False(t, Matches("r2", resp.Body()))
+			}
+			started, done := 0, 0
+			for _, e := range b.Executions().Entries {
+				started, done = started+e.Started, done+e.Done
+			}
+			test.Eq(t, row.started, started)
+			test.Eq(t, row.done, done)
+		})
+	}
+}
+
+// TestCancellation guards against slots that stay busy for callers that left
+// and against silent connections that respond after all.
+func TestCancellation(t *testing.T) {
+	b := start(t, WithSlots(1), WithFaults(Faults{Stall: 1}))
+	ctx, cancel := context.WithCancel(t.Context())
+	first := make(chan exch.Outcome)
+	go func() { out, _ := b.ask(ctx, "GET", "/", "r1"); first <- out }()
+	until(func() bool { return len(b.Executions().Entries) == 1 })
+	out, _ := b.ask(t.Context(), "GET", "/", "r2")
+	test.Eq(t, exch.Shed, out.Class)
+	cancel()
+	test.True(t, (<-first).Canceled)
+	until(func() bool { return b.Busy() == 0 })
+	must.NoError(t, b.Set(Faults{}))
+	out, _ = b.ask(t.Context(), "GET", "/", "r3")
+	test.Eq(t, exch.Whole, out.Class)
+	b.Silence()
+	ctx, cancel = context.WithCancel(t.Context())
+	go func() { out, _ := b.ask(ctx, "GET", "/", "r4"); first <- out }()
+	until(func() bool { _, idle := b.client.Connections(b.target); return idle == 0 })
+	out, _ = b.ask(t.Context(), "GET", "/", "r5")
+	test.Eq(t, exch.Whole, out.Class)
+	cancel()
+	<-first
+}
+
+// TestControl guards against a mistyped switch that is accepted silently, and
+// checks that the endpoints lie when told to.
+func TestControl(t *testing.T) {
+	b := start(t)
+	call := func(method, path, body string) (int, string) {
+		req, err := http.NewRequestWithContext(t.Context(), method, "http://"+b.target.Address+path, strings.NewReader(body))
+		must.NoError(t, err)
+		resp, err := http.DefaultClient.Do(req)
+		must.NoError(t, err)
+		defer func() { _ = resp.Body.Close() }()
+		data, err := io.ReadAll(resp.Body)
+		must.NoError(t, err)
+		return resp.StatusCode, string(data)
+	}
+	defer http.DefaultClient.CloseIdleConnections()
+	for _, wrong := range []string{`{"sloow":1}`, `{"fail":2}`, `{"fail":0.6,"lose":0.6}`, `{"health":"maybe"}`} {
+		status, text := call("PUT", "/control", wrong)
+		test.Eq(t, 400, status)
+		test.StrContains(t, text, "remedy")
+	}
+	status, _ := call("PUT", "/control", `{"fail":1,"health":"good","load":"bad"} /* lies */`)
+	test.Eq(t, 200, status)
+	status, _ = call("GET", "/health", "")
+	test.Eq(t, 200, status)
+	_, text := call("GET", "/load", "")
+	test.StrContains(t, text, `"busy":6`)
+	call("PUT", "/control", `{}`)
+	call("POST", "/orders", "")
+	_, text = call("GET", "/control/executions", "")
+	test.StrContains(t, text, `"path":"/orders"`)
+	call("DELETE", "/control/executions", "")
+	test.Eq(t, 0, len(b.Executions().Entries))
+}
