gate: keep keys out of logs and say "not run" only when it is certain

Cause: the first tests of the gate showed two faults. fasthttp's server logs the bytes of a request that it refuses, the key among them. A retry that found no further target was refused as "not run" although the first target had answered with 500. Change: the servers discard the library's messages; a retry first takes the next target and keeps the first answer until then; after a possible execution every refusal says unknown. Conclusion: refusals after the first attempt are classified by what was sent, not by where the request failed.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -12,6 +12,7 @@
 
 	"rhubarbdrift.example/config"
 	"rhubarbdrift.example/fault"
+	"rhubarbdrift.example/gate"
 	"rhubarbdrift.example/model"
 	"rhubarbdrift.example/plan"
 )
@@ -83,6 +84,7 @@
 		MaxRequestBodySize: maxBody,
 		ReadTimeout:        callTimeout,
 		CloseOnShutdown:    true,
+		Logger:             gate.Quiet{},
 	}
 }
 
--- a/gate/call.go
+++ b/gate/call.go
@@ -38,6 +38,7 @@
 	claim    Claim
 	tried    []model.TargetID
 	domains  []model.Domain
+	sent     bool // a target may have run the request
 }
 
 // serve answers the request or returns the refusal to send.
@@ -222,6 +223,9 @@
 // claim cannot be released, a repeat would be refused as open, so the refusal
 // does not say "not run".
 func (c *call) giveUp(r *Refusal) *Refusal {
+	if c.sent {
+		r.Run = Unknown
+	}
 	if r.Run != NotRun {
 		return r
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -100,9 +100,17 @@
 		NoDefaultContentType:  true,
 		NoDefaultDate:         true,
 		CloseOnShutdown:       true,
+		Logger:                Quiet{},
 	}
 }
 
+// Quiet discards the messages of a fasthttp server. They quote parts of
+// requests, which may contain keys.
+type Quiet struct{}
+
+// Printf does nothing.
+func (Quiet) Printf(string, ...any) {}
+
 // Drain makes all further answers close their connections, so that callers
 // connect to other daemons.
 func (g *Gate) Drain() { g.draining.Store(true) }
--- /dev/null
+++ b/gate/gate_test.go
@@ -0,0 +1,333 @@
+package gate
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
+
+	"rhubarbdrift.example/conf"
+	"rhubarbdrift.example/exch"
+	"rhubarbdrift.example/fault"
+	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/pick"
+)
+
+const testKey = "depots-key"
+
+// rig is a gate before one target on loopback, with fakes for the decisions.
+type rig struct {
+	gate    *Gate
+	holder  *conf.Holder
+	address string // of the gate
+	fresh   atomic.Bool
+	claims  fakeClaims
+	enter   func() // called while a request is queued
+	mu      sync.Mutex
+	seen    []string // headers that the target received
+}
+
+// fakeClaims records claims in memory.
+type fakeClaims struct {
+	mu     sync.Mutex
+	states map[string]string
+	broken bool // the platform is gone
+}
+
+func (f *fakeClaims) Begin(_ context.Context, _ model.CustomerID, key string, _ model.Digest) (Claim, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.broken {
+		return nil, fault.New(fault.Unavailable, "gone", "wait")
+	}
+	if state := f.states[key]; state != "" {
+		return nil, fault.New(fault.Kind(state), state, "none")
+	}
+	f.states[key] = "open"
+	return &fakeClaim{f, key}, nil
+}
+
+func (f *fakeClaims) state(key string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.states[key]
+}
+
+func (f *fakeClaims) setBroken() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.broken = true
+}
+
+type fakeClaim struct {
+	claims *fakeClaims
+	key    string
+}
+
+func (c *fakeClaim) set(state string) error {
+	c.claims.mu.Lock()
+	defer c.claims.mu.Unlock()
+	c.claims.states[c.key] = state
+	return nil
+}
+
+func (c *fakeClaim) Done(context.Context, int) error { return c.set("done") }
+func (c *fakeClaim) Release(context.Context) error   { return c.set("") }
+
+type freeToken struct{}
+
+func (freeToken) Valid() bool { return true }
+func (freeToken) Cancel()     {}
+
+func (r *rig) Admit(context.Context, *model.Customer) (Token, error) { return freeToken{}, nil }
+
+func (r *rig) Enter(context.Context, model.PoolID, *model.Customer, time.Time) (func(), error) {
+	if r.enter != nil {
+		r.enter()
+	}
+	return func() {}, nil
+}
+
+// received returns the headers that the target received.
+func (r *rig) received() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.seen)
+}
+
+func listen(t *testing.T, s *fasthttp.Server) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() { _ = s.Serve(ln) }()
+	t.Cleanup(func() { _ = s.Shutdown() })
+	return ln.Addr().String()
+}
+
+func newRig(t *testing.T, target fasthttp.RequestHandler) *rig {
+	t.Helper()
+	r := &rig{holder: conf.NewHolder()}
+	r.claims.states = make(map[string]string)
+	r.fresh.Store(true)
+	address := listen(t, &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		r.mu.Lock()
+		r.seen = append(r.seen, ctx.Request.Header.String())
+		r.mu.Unlock()
+		target(ctx)
+	}})
+	picker := pick.New(pick.Daemon{Host: "h1", Region: "north", Domain: "a"})
+	r.holder.Subscribe(func(s *conf.Snapshot) {
+		in := s.Intent()
+		picker.Update([]*model.Pool{&in.Pools[0]}, []pick.Daemon{{Host: "h1", Region: "north", Domain: "a"}})
+	})
+	r.install(t, 1, address, []model.Key{{ID: "k", Digest: model.DigestOf([]byte(testKey))}})
+	exchange := exch.New()
+	t.Cleanup(exchange.Close)
+	r.gate = New(Parts{
+		Snapshot: r.holder.Current, Fresh: r.fresh.Load, Limiter: r, Claims: &r.claims,
+		Queues: r, Picker: picker, Exchange: exchange, Observe: func(Sample) {},
+	})
+	r.address = listen(t, r.gate.Server())
+	return r
+}
+
+// install puts a version in force with one route of each kind.
+func (r *rig) install(t *testing.T, version model.ConfigVersion, address string, keys []model.Key) {
+	t.Helper()
+	in := &model.Intent{
+		Customers: []model.Customer{{ID: "depots", Rate: 1e6, Burst: 1e6, Keys: keys}},
+		Pools: []model.Pool{{ID: "ledger", Targets: []model.Target{
+			{ID: "l1", Address: address, Region: "north", Domain: "a", Slots: 64},
+			{ID: "l2", Address: address, Region: "north", Domain: "a", Slots: 64},
+		}}},
+		Routes: []model.Route{
+			{ID: "weights", Prefix: "/weights", Pool: "ledger", Deadline: 5000, Body: 1 << 10},
+			{ID: "payouts", Prefix: "/payouts", Pool: "ledger", Deadline: 5000, Repeat: model.RepeatNever},
+		},
+	}
+	root, chunks, err := conf.Build(in, version, model.DigestOf([]byte("audit")), "change")
+	must.NoError(t, err)
+	s, err := conf.Assemble(root, func(d model.Digest) ([]byte, error) { return chunks[d], nil })
+	must.NoError(t, err)
+	must.True(t, r.holder.Install(s))
+}
+
+// send writes raw bytes and returns the answer and whether the connection was closed.
+func (r *rig) send(t *testing.T, raw string) (*fasthttp.Response, bool) {
+	t.Helper()
+	conn, err := net.Dial("tcp", r.address)
+	must.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	must.NoError(t, conn.SetDeadline(time.Now().Add(20*time.Second)))
+	_, err = io.WriteString(conn, raw)
+	must.NoError(t, err)
+	resp := new(fasthttp.Response)
+	b := bufio.NewReader(conn)
+	if err := resp.Read(b); err != nil {
+		return nil, true
+	}
+	if !resp.ConnectionClose() {
+		return resp, false
+	}
+	// The server may reset the connection, since it did not read all that was sent.
+	_, err = b.ReadByte()
+	return resp, err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+func request(method, path, extra string) string {
+	return method + " " + path + " HTTP/1.1\r\nHost: yard\r\nX-Api-Key: " + testKey + "\r\n" + extra + "\r\n"
+}
+
+func hello(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("hello") }
+
+// TestShapes guards against requests whose end two parsers see at different places.
+func TestShapes(t *testing.T) {
+	r := newRig(t, hello)
+	shapes := map[string]string{
+		"two lengths":         request("POST", "/weights", "Content-Length: 1\r\nContent-Length: 2\r\n") + "ab",
+		"same length twice":   request("POST", "/weights", "Content-Length: 1\r\nContent-Length: 1\r\n") + "a",
+		"length and chunked":  request("POST", "/weights", "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n") + "0\r\n\r\n",
+		"unknown encoding":    request("POST", "/weights", "Transfer-Encoding: xchunked\r\n") + "0\r\n\r\n",
+		"folded header":       request("GET", "/weights", "X-A: b\r\n c\r\n"),
+		"large header":        request("GET", "/weights", "X-A: "+strings.Repeat("a", headerBuffer)+"\r\n"),
+		"large body of route": request("POST", "/weights", "Idempotency-Key: i\r\nContent-Length: 2000\r\n") + strings.Repeat("a", 2000),
+	}
+	for name, raw := range shapes {
+		t.Run(name, func(t *testing.T) {
+			resp, closed := r.send(t, raw)
+			must.NotNil(t, resp)
+			must.Between(t, 400, resp.StatusCode(), 499)
+			must.True(t, closed, must.Sprint("connection stays open"))
+		})
+	}
+	must.SliceEmpty(t, r.received(), must.Sprint("a malformed request reached the target"))
+}
+
+// TestKeyNeverReachesTarget guards against a target that sees a key or hop-by-hop headers.
+func TestKeyNeverReachesTarget(t *testing.T) {
+	r := newRig(t, hello)
+	resp, _ := r.send(t, request("GET", "/weights", "Connection: X-Private\r\nX-Private: 1\r\nTe: trailers\r\n"))
+	must.EqOp(t, 200, resp.StatusCode())
+	must.EqOp(t, "hello", string(resp.Body()))
+	must.SliceLen(t, 1, r.received())
+	for _, secret := range []string{testKey, "X-Api-Key", "X-Private", "trailers"} {
+		must.StrNotContains(t, r.received()[0], secret)
+	}
+}
+
+// TestKeyWithdrawnWhileQueued guards against a request that runs for a key
+// that was withdrawn after the request was admitted.
+func TestKeyWithdrawnWhileQueued(t *testing.T) {
+	r := newRig(t, hello)
+	r.enter = func() { r.install(t, 2, "127.0.0.1:1", nil) }
+	resp, _ := r.send(t, request("GET", "/weights", ""))
+	must.EqOp(t, 401, resp.StatusCode())
+	must.EqOp(t, "not-run", string(resp.Header.Peek(HeaderRun)))
+	must.SliceEmpty(t, r.received())
+}
+
+// TestStale guards against keyed requests on a daemon that may hold an old configuration.
+func TestStale(t *testing.T) {
+	r := newRig(t, hello)
+	r.fresh.Store(false)
+	resp, _ := r.send(t, request("GET", "/weights", ""))
+	must.EqOp(t, 503, resp.StatusCode())
+	must.EqOp(t, "stale", string(resp.Header.Peek(HeaderKind)))
+	must.SliceEmpty(t, r.received())
+}
+
+// TestRunAtMostOnce guards against a second execution of a request that may
+// not be repeated, and against "not run" for one whose outcome is unknown.
+func TestRunAtMostOnce(t *testing.T) {
+	r := newRig(t, func(ctx *fasthttp.RequestCtx) {
+		// The target runs the request and closes without an answer.
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(net.Conn) {})
+	})
+	pay := request("POST", "/payouts", "Idempotency-Key: p1\r\nContent-Length: 0\r\n")
+	resp, _ := r.send(t, pay)
+	must.EqOp(t, "unknown", string(resp.Header.Peek(HeaderRun)))
+	must.SliceLen(t, 1, r.received())
+	resp, _ = r.send(t, pay)
+	must.EqOp(t, 409, resp.StatusCode())
+	must.EqOp(t, "open", string(resp.Header.Peek(HeaderKind)))
+	must.SliceLen(t, 1, r.received())
+	resp, _ = r.send(t, request("POST", "/payouts", "Content-Length: 0\r\n"))
+	must.EqOp(t, 400, resp.StatusCode(), must.Sprint("no idempotency key"))
+	r.claims.setBroken()
+	resp, _ = r.send(t, request("POST", "/payouts", "Idempotency-Key: p2\r\nContent-Length: 0\r\n"))
+	must.EqOp(t, "unclaimed", string(resp.Header.Peek(HeaderKind)))
+	must.EqOp(t, "not-run", string(resp.Header.Peek(HeaderRun)))
+	must.SliceLen(t, 1, r.received())
+}
+
+// TestShedIsNotRun guards against a claim that stays open, and so blocks the
+// caller's repeat, although the target refused the request before it ran.
+func TestShedIsNotRun(t *testing.T) {
+	r := newRig(t, func(ctx *fasthttp.RequestCtx) {
+		ctx.SetStatusCode(503)
+		ctx.Response.Header.Set(exch.HeaderShed, "1")
+	})
+	resp, _ := r.send(t, request("POST", "/payouts", "Idempotency-Key: p1\r\nContent-Length: 0\r\n"))
+	must.EqOp(t, "busy", string(resp.Header.Peek(HeaderKind)))
+	must.EqOp(t, "not-run", string(resp.Header.Peek(HeaderRun)))
+	must.EqOp(t, "", r.claims.state("p1"))
+}
+
+// TestRetryBudget guards against retries that add load to a failing pool.
+func TestRetryBudget(t *testing.T) {
+	r := newRig(t, func(ctx *fasthttp.RequestCtx) { ctx.SetStatusCode(500) })
+	const requests = 300
+	for range requests {
+		resp, _ := r.send(t, request("GET", "/weights", ""))
+		must.EqOp(t, 500, resp.StatusCode())
+	}
+	must.Less(t, requests*12/10, len(r.received()))
+}
+
+// TestTruncatedAnswer guards against a truncated answer that ends cleanly.
+func TestTruncatedAnswer(t *testing.T) {
+	r := newRig(t, func(ctx *fasthttp.RequestCtx) {
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n"+strings.Repeat("a", 50000))
+		})
+	})
+	resp, broken := r.send(t, request("GET", "/weights", ""))
+	must.True(t, resp == nil && broken, must.Sprint("the caller took a truncated answer for a whole one"))
+}
+
+// TestDrain guards against a planned stop that cuts off a running request.
+func TestDrain(t *testing.T) {
+	started, finish := make(chan struct{}), make(chan struct{})
+	r := newRig(t, func(ctx *fasthttp.RequestCtx) {
+		close(started)
+		<-finish
+		hello(ctx)
+	})
+	answers := make(chan *fasthttp.Response, 1)
+	go func() {
+		resp, _ := r.send(t, request("GET", "/weights", ""))
+		answers <- resp
+	}()
+	<-started
+	r.gate.Drain()
+	waited := make(chan error, 1)
+	go func() { waited <- r.gate.Wait(context.Background()) }()
+	close(finish)
+	resp := <-answers
+	must.EqOp(t, "hello", string(resp.Body()))
+	must.True(t, resp.ConnectionClose())
+	must.NoError(t, <-waited)
+}
--- a/gate/run.go
+++ b/gate/run.go
@@ -17,25 +17,35 @@
 // run sends the request to targets until one answers or the refusal is final.
 func (c *call) run() *Refusal {
 	c.gate.budget.request(c.pool.ID)
+	hold, release, r := c.acquire()
+	if r != nil {
+		return c.giveUp(r)
+	}
 	for attempt := 0; ; attempt++ {
-		hold, release, r := c.acquire()
-		if r != nil {
-			return c.giveUp(r)
-		}
 		if r := c.recheck(); r != nil {
 			hold.Done(pick.Slow) // frees the slot without raising the target's limit
 			release()
 			return c.giveUp(r)
 		}
 		out := c.exchange(hold, release)
-		if c.again(&out, attempt) {
-			c.ctx.Response.Reset()
-			continue
+		c.sent = c.sent || !out.NotRun()
+		if !c.again(&out, attempt) {
+			return c.finish(&out)
 		}
-		return c.finish(&out)
+		// The first answer is kept until there is another target to try.
+		next, err := c.gate.parts.Picker.Pick(c.need())
+		if err != nil {
+			return c.finish(&out)
+		}
+		c.ctx.Response.Reset()
+		hold, release = next, func() {}
 	}
 }
 
+func (c *call) need() pick.Need {
+	return pick.Need{Pool: c.pool.ID, Deadline: c.deadline, Tried: c.tried, Domains: c.domains}
+}
+
 // acquire waits for the pool's queue and a target with a free slot.
 func (c *call) acquire() (*pick.Hold, func(), *Refusal) {
 	ctx, cancel := context.WithDeadline(context.Background(), c.deadline)
@@ -44,10 +54,9 @@
 	if err != nil {
 		return nil, nil, capacityRefusal(err)
 	}
-	need := pick.Need{Pool: c.pool.ID, Deadline: c.deadline, Tried: c.tried, Domains: c.domains}
 	for {
 		free := c.gate.parts.Picker.Free(c.pool.ID)
-		hold, err := c.gate.parts.Picker.Pick(need)
+		hold, err := c.gate.parts.Picker.Pick(c.need())
 		if err == nil {
 			return hold, release, nil
 		}
