load: add the open-loop load tool

Cause: a closed-loop tool hides stalls, and one that only counts statuses takes truncated or crossed responses for good ones. Change: planned start times per customer, latency from the planned start, each response checked for its id and content, classes and refusal kinds per customer, histogram, table and JSON; addresses outside 127.0.0.0/8 refused.

--- /dev/null
+++ b/load/load_test.go
@@ -0,0 +1,154 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttputil"
+
+	"rhubarbdrift.example/exch"
+	"rhubarbdrift.example/origin"
+)
+
+// against runs a plan in virtual time against a handler.
+func against(ctx context.Context, t *testing.T, p Plan, handler fasthttp.RequestHandler) Report {
+	ln := fasthttputil.NewInmemoryListener()
+	// The goroutine that updates the date would never leave the bubble.
+	s := &fasthttp.Server{Handler: handler, NoDefaultDate: true}
+	done := make(chan error)
+	go func() { done <- s.Serve(ln) }()
+	client := exch.New(exch.WithConnections(1000), exch.WithDial(func(context.Context, string) (net.Conn, error) { return ln.Dial() }))
+	p.Entries = []string{"127.0.0.1:1", "127.0.0.1:2"}
+	out, err := run(ctx, p, client)
+	must.NoError(t, err)
+	client.Close()
+	must.NoError(t, s.Shutdown())
+	must.NoError(t, <-done)
+	time.Sleep(time.Minute) // lets the server's worker pool end
+	return out
+}
+
+func respond(ctx *fasthttp.RequestCtx) {
+	id := string(ctx.Request.Header.Peek(origin.HeaderRequest))
+	ctx.Response.Header.Set(origin.HeaderRequest, id)
+	body := make([]byte, ctx.QueryArgs().GetUintOrZero("size"))
+	_, _ = io.ReadFull(origin.Content(id), body)
+	ctx.SetBody(body)
+}
+
+// TestOpenLoop guards against coordinated omission: a stall of one second must
+// show in every request that was planned during it.
+func TestOpenLoop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		out := against(t.Context(), t, Plan{Time: 5000, Customers: []Customer{{ID: "north", Rate: 100, Size: 100}}},
+			func(ctx *fasthttp.RequestCtx) {
+				if now := time.Since(start); now >= 2*time.Second && now < 3*time.Second {
+					time.Sleep(3*time.Second - now)
+				}
+				respond(ctx)
+			})
+		c := out.Customers[0]
+		test.Eq(t, 500, c.Sent)
+		test.Eq(t, 500, c.Whole)
+		test.InDelta(t, 0, c.P50, 0.01)
+		test.InDelta(t, 950, c.P99, 1)
+		test.InDelta(t, 1000, c.Max, 1)
+	})
+}
+
+// TestClasses guards against a wrong or incomplete response that is counted
+// as whole, and against a refusal that is counted as something else.
+func TestClasses(t *testing.T) {
+	rows := map[string]Class{"/whole": Whole, "/crossed": Wrong, "/garbled": Wrong, "/short": Wrong, "/failed": Failed,
+		"/limit": Refused, "/maybe": Unknown, "/close": Unknown, "/cut": Broken}
+	synctest.Test(t, func(t *testing.T) {
+		p := Plan{Time: 1000, Count: 3, Customers: []Customer{}}
+		for path := range rows {
+			p.Customers = append(p.Customers, Customer{ID: "c", Rate: 10, Path: path, Size: 20_000, Method: "post", Body: 10})
+		}
+		var mu sync.Mutex
+		seen := make(map[string]int)
+		p.Observe = func(a Answer) {
+			mu.Lock()
+			defer mu.Unlock()
+			seen[a.Key]++
+		}
+		out := against(t.Context(), t, p, misbehave)
+		for i, c := range out.Customers {
+			want := rows[p.Customers[i].Path]
+			got := map[Class]int{Whole: c.Whole, Refused: c.Refused, Unknown: c.Unknown, Broken: c.Broken, Wrong: c.Wrong, Failed: c.Failed}
+			test.Eq(t, 3, got[want], test.Sprint(p.Customers[i].Path, c))
+			test.Eq(t, 3, c.Sent)
+		}
+		test.MapLen(t, 3*len(rows), seen)
+		var text bytes.Buffer
+		must.NoError(t, out.Table(&text))
+		test.StrContains(t, text.String(), "refused/limit=3")
+		test.StrContains(t, text.String(), "unknown/closed=3")
+	})
+}
+
+func misbehave(ctx *fasthttp.RequestCtx) {
+	respond(ctx)
+	h := &ctx.Response.Header
+	switch string(ctx.Path()) {
+	case "/crossed":
+		h.Set(origin.HeaderRequest, "another")
+	case "/garbled":
+		ctx.Response.Body()[19_999]++
+	case "/short":
+		ctx.SetBody(ctx.Response.Body()[:19_999])
+	case "/failed":
+		ctx.SetStatusCode(500)
+	case "/limit", "/maybe":
+		h.Set(HeaderKind, string(ctx.Path()[1:]))
+		h.Set(HeaderRun, map[string]string{"/limit": "not-run", "/maybe": "unknown"}[string(ctx.Path())])
+		ctx.SetStatusCode(429)
+	case "/close", "/cut":
+		text := "HTTP/1.1 200 OK\r\nContent-Length: 20000\r\n\r\nabc"
+		if string(ctx.Path()) == "/close" {
+			text = ""
+		}
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(nc net.Conn) { _, _ = io.WriteString(nc, text) })
+	}
+}
+
+// TestBounds guards against load on other machines and against runs without an end.
+func TestBounds(t *testing.T) {
+	good := Plan{Entries: []string{"127.0.0.9:80"}, Time: 1, Customers: []Customer{{ID: "a", Rate: 1}}}
+	must.NoError(t, good.Check())
+	for _, entry := range []string{"10.0.0.1:80", "localhost:80", "[::1]:80", "127.0.0.1", "[::ffff:10.0.0.1]:80"} {
+		p := good
+		p.Entries = []string{"127.0.0.1:80", entry}
+		_, err := Run(t.Context(), p)
+		test.ErrorContains(t, err, "127.0.0.0/8")
+	}
+	for _, change := range []func(*Plan){
+		func(p *Plan) { p.Time = 0 },
+		func(p *Plan) { p.Time = MaxTime + 1 },
+		func(p *Plan) { p.Customers = []Customer{{ID: "a", Rate: 1e12}} },
+		func(p *Plan) { p.Customers = []Customer{{ID: "a", Rate: 1, Path: "x"}} },
+	} {
+		p := good
+		change(&p)
+		test.ErrorContains(t, p.Check(), "remedy")
+	}
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 950*time.Millisecond)
+		defer cancel()
+		out := against(ctx, t, Plan{Time: 60_000, Customers: []Customer{{ID: "a", Rate: 10}}}, respond)
+		test.True(t, out.Ended)
+		test.Eq(t, 10, out.Customers[0].Sent)
+	})
+}
--- /dev/null
+++ b/load/plan.go
@@ -0,0 +1,149 @@
+package load
+
+import (
+	"fmt"
+	"net/http"
+	"net/netip"
+	"strings"
+	"time"
+
+	"rhubarbdrift.example/fault"
+	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/origin"
+)
+
+// Bounds and defaults of a plan.
+const (
+	// DefaultTimeout is the time allowed for a request.
+	DefaultTimeout model.Millis = 10_000
+	// DefaultFlight is the largest number of requests that run at once.
+	DefaultFlight = 4096
+	// MaxTime is the longest run.
+	MaxTime model.Millis = 3_600_000
+	// MaxCount is the largest number of requests of a run.
+	MaxCount = 5_000_000
+)
+
+// Customer is the load of one customer.
+type Customer struct {
+	ID     model.CustomerID `json:"id"`
+	Key    string           `json:"key,omitempty"`    // sent as X-Api-Key
+	Rate   model.Rate       `json:"rate"`             // requests per second
+	Path   string           `json:"path,omitempty"`   // default: /
+	Method string           `json:"method,omitempty"` // default: GET
+	Host   string           `json:"host,omitempty"`   // default: the entry's address
+	Size   int              `json:"size,omitempty"`   // bytes of a response body
+	Body   int              `json:"body,omitempty"`   // bytes of a request body
+}
+
+// Plan describes a run.
+type Plan struct {
+	Entries   []string     `json:"entries"` // IP addresses and ports, used in turn
+	Customers []Customer   `json:"customers"`
+	Time      model.Millis `json:"time"`              // length of the run
+	Count     int          `json:"count,omitempty"`   // largest number of requests per customer; 0: no bound but Time
+	Timeout   model.Millis `json:"timeout,omitempty"` // default: DefaultTimeout
+	Flight    int          `json:"flight,omitempty"`  // default: DefaultFlight; further requests are skipped
+	Name      string       `json:"name,omitempty"`    // prefix of request ids; default: the start time
+
+	// Observe is called after each request, by several goroutines at once.
+	Observe func(Answer) `json:"-"`
+}
+
+// Check reports the first mistake in the plan.
+func (p *Plan) Check() error {
+	if len(p.Entries) == 0 || len(p.Customers) == 0 {
+		return fault.Invalid("plan", "has no entries or no customers", "name at least one of each")
+	}
+	for _, e := range p.Entries {
+		if err := checkEntry(e); err != nil {
+			return err
+		}
+	}
+	if p.Time <= 0 || p.Time > MaxTime {
+		return fault.Invalid("time", "must be above 0", fmt.Sprintf("give at most %d ms", MaxTime))
+	}
+	if p.Count < 0 || p.Timeout < 0 || p.Flight < 0 {
+		return fault.Invalid("count, timeout or flight", "must not be negative", "remove the field for the default")
+	}
+	total := 0.0
+	for i := range p.Customers {
+		c := &p.Customers[i]
+		if err := c.check(); err != nil {
+			return err
+		}
+		total += float64(c.Rate) * p.Time.Duration().Seconds()
+	}
+	if total > MaxCount {
+		return fault.Invalid("plan", fmt.Sprintf("asks for %.0f requests", total), fmt.Sprintf("lower rates or time to at most %d", MaxCount))
+	}
+	return nil
+}
+
+// checkEntry refuses every address that is not on this machine's loopback.
+func checkEntry(entry string) error {
+	a, err := netip.ParseAddrPort(entry)
+	if err != nil || !a.Addr().Is4() || !a.Addr().IsLoopback() {
+		return fault.Invalid("entry "+entry, "is not an address in 127.0.0.0/8 with a port",
+			"the load tool is for stand-ins on this machine; give an address such as 127.0.0.1:8080")
+	}
+	return nil
+}
+
+func (c *Customer) check() error {
+	name := "customer " + string(c.ID)
+	switch {
+	case c.ID == "":
+		return fault.Invalid("customer id", "is empty", "give each customer an id")
+	case c.Rate <= 0:
+		return fault.Invalid(name+": rate", "must be above 0 requests/s", "set a rate")
+	case c.Path != "" && !strings.HasPrefix(c.Path, "/"):
+		return fault.Invalid(name+": path", "must start with /", "write it as /orders")
+	case c.Size < 0 || c.Size > origin.MaxSize || c.Body < 0 || c.Body > origin.MaxSize:
+		return fault.Invalid(name+": size or body", "is out of range", fmt.Sprintf("give at most %d bytes", origin.MaxSize))
+	}
+	return nil
+}
+
+func (c *Customer) method() string {
+	if c.Method == "" {
+		return http.MethodGet
+	}
+	return strings.ToUpper(c.Method)
+}
+
+// repeatable reports whether requests need no idempotency key.
+func (c *Customer) repeatable() bool {
+	switch c.method() {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	}
+	return false
+}
+
+// uri returns the request target with the size that the stand-in target responds with.
+func (c *Customer) uri() string {
+	path := c.Path
+	if path == "" {
+		path = "/"
+	}
+	mark := "?"
+	if strings.Contains(path, "?") {
+		mark = "&"
+	}
+	return fmt.Sprintf("%s%ssize=%d", path, mark, c.Size)
+}
+
+func (p *Plan) timeout() time.Duration {
+	if p.Timeout == 0 {
+		return DefaultTimeout.Duration()
+	}
+	return p.Timeout.Duration()
+}
+
+func (p *Plan) flight() int {
+	if p.Flight == 0 {
+		return DefaultFlight
+	}
+	return p.Flight
+}
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,143 @@
+package load
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"rhubarbdrift.example/model"
+)
+
+// The histogram holds 1 microsecond to 10 minutes with 3 significant digits.
+const (
+	histogramMax    = int64(10 * time.Minute / time.Microsecond)
+	histogramDigits = 3
+)
+
+// Report is the result of a run.
+type Report struct {
+	Elapsed   model.Millis `json:"elapsed"`
+	Ended     bool         `json:"ended,omitempty"` // ended before the planned time
+	Customers []Result     `json:"customers"`
+}
+
+// Count is a number of requests that ended with the same class and kind.
+type Count struct {
+	Class Class  `json:"class"`
+	Kind  string `json:"kind"`
+	Count int    `json:"count"`
+}
+
+// Result is the summary of one customer. Sent is the sum of the six classes.
+type Result struct {
+	Customer model.CustomerID `json:"customer"`
+	Sent     int              `json:"sent"`
+	Whole    int              `json:"whole"`
+	Refused  int              `json:"refused"` // "not run"
+	Unknown  int              `json:"unknown"`
+	Broken   int              `json:"broken"`
+	Wrong    int              `json:"wrong"`
+	Failed   int              `json:"failed"`
+	Skipped  int              `json:"skipped"` // not sent, because too many requests were running
+	Kinds    []Count          `json:"kinds,omitempty"`
+	P50      float64          `json:"p50"` // latency of whole responses in milliseconds
+	P99      float64          `json:"p99"`
+	P999     float64          `json:"p999"`
+	Max      float64          `json:"max"`
+}
+
+// Table writes one line per customer.
+func (r *Report) Table(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(t, "customer\tsent\twhole\trefused\tunknown\tbroken\twrong\tfailed\tskipped\tp50 ms\tp99 ms\tp99.9 ms\tmax ms\t  kinds")
+	for i := range r.Customers {
+		c := &r.Customers[i]
+		_, _ = fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t  %s\n", c.Customer, c.Sent, c.Whole,
+			c.Refused, c.Unknown, c.Broken, c.Wrong, c.Failed, c.Skipped, c.P50, c.P99, c.P999, c.Max, c.kinds())
+	}
+	return t.Flush()
+}
+
+// JSON writes the report as one JSON document.
+func (r *Report) JSON(w io.Writer) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(r)
+}
+
+func (r *Result) kinds() string {
+	var parts []string
+	for _, k := range r.Kinds {
+		parts = append(parts, fmt.Sprintf("%s/%s=%d", k.Class, k.Kind, k.Count))
+	}
+	return strings.Join(parts, " ")
+}
+
+// tally collects the answers of one customer.
+type tally struct {
+	mu      sync.Mutex
+	out     Result
+	latency *hdrhistogram.Histogram // microseconds
+}
+
+func newTally(id model.CustomerID) *tally {
+	return &tally{out: Result{Customer: id}, latency: hdrhistogram.New(1, histogramMax, histogramDigits)}
+}
+
+func (t *tally) skip() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.out.Skipped++
+}
+
+func (t *tally) add(a Answer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.out.Sent++
+	switch a.Class {
+	case Whole:
+		t.out.Whole++
+		// Cannot fail, because the value is limited to the histogram's range.
+		_ = t.latency.RecordValue(min(a.Latency.Microseconds(), histogramMax))
+	case Refused:
+		t.out.Refused++
+	case Unknown:
+		t.out.Unknown++
+	case Broken:
+		t.out.Broken++
+	case Wrong:
+		t.out.Wrong++
+	case Failed:
+		t.out.Failed++
+	}
+	if a.Kind == "" {
+		return
+	}
+	i := slices.IndexFunc(t.out.Kinds, func(k Count) bool { return k.Class == a.Class && k.Kind == a.Kind })
+	if i < 0 {
+		i = len(t.out.Kinds)
+		t.out.Kinds = append(t.out.Kinds, Count{Class: a.Class, Kind: a.Kind})
+	}
+	t.out.Kinds[i].Count++
+}
+
+func (t *tally) result() Result {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := t.out
+	slices.SortFunc(out.Kinds, func(a, b Count) int {
+		return cmp.Or(cmp.Compare(a.Class, b.Class), cmp.Compare(a.Kind, b.Kind))
+	})
+	at := func(q float64) float64 { return float64(t.latency.ValueAtQuantile(q)) / 1000 }
+	out.P50, out.P99, out.P999 = at(50), at(99), at(99.9)
+	out.Max = float64(t.latency.Max()) / 1000
+	return out
+}
