gate, cmds: name the customer to the target and script the whole path

Cause: targets need to know for whom a request runs and must not see the caller's key; the whole path had only been run by hand. Conclusion: scenarios run against the real program.

--- /dev/null
+++ b/cmds/script_test.go
@@ -0,0 +1,98 @@
+package cmds
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/valyala/fasthttp"
+
+	"rhubarbdrift.example/model"
+)
+
+const (
+	scriptKey  = "a-callers-key"
+	credential = "an-operators-credential"
+	// eventually bounds the wait for a condition that holds after some time.
+	eventually = 30 * time.Second
+	poll       = 20 * time.Millisecond
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"rhubarbdrift": func() { os.Exit(Execute()) },
+	})
+}
+
+// TestScripts runs the scenarios of testdata against the program. They guard
+// against faults of the whole path: commands, exit codes, plan and confirm,
+// keys, and the planned stop.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata",
+		Setup: setup,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"get":   get,
+			"await": await,
+		},
+	})
+}
+
+// setup gives each script free addresses and digests in its environment.
+func setup(e *testscript.Env) error {
+	for _, name := range []string{"PLATFORM", "CALLERS", "PEERS", "ADMIN", "TARGET"} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		e.Setenv(name, ln.Addr().String())
+		_ = ln.Close()
+	}
+	e.Setenv("KEY", scriptKey)
+	e.Setenv("DIGEST", string(model.DigestOf([]byte(scriptKey))))
+	e.Setenv("OPERATOR", string(model.DigestOf([]byte(credential))))
+	e.Setenv(credentialVariable, credential)
+	return nil
+}
+
+// request sends a GET with an optional key and returns status and kind.
+func request(url, key string) (int, string) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI(url)
+	if key != "" {
+		req.Header.Set("X-Api-Key", key)
+	}
+	if err := fasthttp.DoTimeout(req, resp, eventually); err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode(), string(resp.Header.Peek("Rhubarbdrift-Kind"))
+}
+
+// get sends a request once: get URL KEY STATUS [KIND].
+func get(ts *testscript.TestScript, _ bool, args []string) {
+	status, kind := request(args[0], args[1])
+	if fmt.Sprint(status) != args[2] || (len(args) > 3 && kind != args[3]) {
+		ts.Fatalf("got status %d kind %q, want %s", status, kind, strings.Join(args[2:], " "))
+	}
+}
+
+// await sends a request until its answer is the wanted one: await URL KEY STATUS [KIND].
+func await(ts *testscript.TestScript, _ bool, args []string) {
+	limit := time.Now().Add(eventually)
+	for {
+		status, kind := request(args[0], args[1])
+		if fmt.Sprint(status) == args[2] && (len(args) < 4 || kind == args[3]) {
+			return
+		}
+		if time.Now().After(limit) {
+			ts.Fatalf("still status %d kind %q after %s, want %s", status, kind, eventually, strings.Join(args[2:], " "))
+		}
+		time.Sleep(poll)
+	}
+}
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -217,13 +217,14 @@
 // TestKeyNeverReachesTarget guards against a target that sees a key or hop-by-hop headers.
 func TestKeyNeverReachesTarget(t *testing.T) {
 	r := newRig(t, hello)
-	resp, _ := r.send(t, request("GET", "/weights", "Connection: X-Private\r\nX-Private: 1\r\nTe: trailers\r\n"))
+	resp, _ := r.send(t, request("GET", "/weights", "Connection: X-Private\r\nX-Private: 1\r\nTe: trailers\r\nRhubarbdrift-Customer: another\r\n"))
 	must.EqOp(t, 200, resp.StatusCode())
 	must.EqOp(t, "hello", string(resp.Body()))
 	must.SliceLen(t, 1, r.received())
-	for _, secret := range []string{testKey, "X-Api-Key", "X-Private", "trailers"} {
+	for _, secret := range []string{testKey, "X-Api-Key", "X-Private", "trailers", "another"} {
 		must.StrNotContains(t, r.received()[0], secret)
 	}
+	must.StrContains(t, r.received()[0], "Rhubarbdrift-Customer: depots")
 }
 
 // TestKeyWithdrawnWhileQueued guards against a request that runs for a key
--- a/gate/refuse.go
+++ b/gate/refuse.go
@@ -16,6 +16,8 @@
 	HeaderIdempotency = "Idempotency-Key"
 	// HeaderDeadline carries the time left for the request in milliseconds.
 	HeaderDeadline = "Rhubarbdrift-Deadline"
+	// HeaderCustomer tells the target which customer the request runs for.
+	HeaderCustomer = "Rhubarbdrift-Customer"
 	// HeaderKind carries the kind of a refusal.
 	HeaderKind = "Rhubarbdrift-Kind"
 	// HeaderRun says whether a refused request was run: not-run or unknown.
--- a/gate/run.go
+++ b/gate/run.go
@@ -102,6 +102,11 @@
 	c.ctx.Request.CopyTo(req)
 	removeHop(&req.Header)
 	req.Header.Del(HeaderKey)
+	// A caller must not be able to speak for another customer.
+	req.Header.Del(HeaderCustomer)
+	if c.customer != nil {
+		req.Header.Set(HeaderCustomer, string(c.customer.ID))
+	}
 	req.Header.Add("X-Forwarded-For", c.ctx.RemoteIP().String())
 }
 
