--- /dev/null
+++ b/cmds/standin.go
@@ -0,0 +1,56 @@
+package cmds
+
+import (
+	"context"
+	"io"
+	"net"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"rhubarbdrift.example/fault"
+)
+
+// defaultGrace is the time that a stand-in waits for running work after SIGTERM.
+const defaultGrace = 30 * time.Second
+
+// standin is a server that runs until SIGTERM.
+type standin interface {
+	Serve(ln net.Listener) error
+	Stop(ctx context.Context) error
+}
+
+// serveUntilStopped runs a stand-in on the listener until ctx ends or a
+// SIGTERM or SIGINT arrives, and then lets running work finish for the grace
+// time. A second signal changes nothing.
+func serveUntilStopped(ctx context.Context, log zerolog.Logger, s standin, ln net.Listener, grace time.Duration) error {
+	ctx, release := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer release()
+	log.Info().Str("address", ln.Addr().String()).Msg("listening")
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return s.Serve(ln) })
+	g.Go(func() error {
+		<-ctx.Done()
+		log.Info().Dur("grace", grace).Msg("stopping")
+		end, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
+		defer cancel()
+		return s.Stop(end)
+	})
+	return g.Wait()
+}
+
+// listenLocal opens a listener.
+func listenLocal(ctx context.Context, address string) (net.Listener, error) {
+	var c net.ListenConfig
+	ln, err := c.Listen(ctx, "tcp", address)
+	return ln, fault.Wrap(fault.Unavailable, err, "cannot listen on "+address, "choose a free address with --listen")
+}
+
+// standinLog writes one key=value line per event.
+func standinLog(w io.Writer, name string) zerolog.Logger {
+	out := zerolog.ConsoleWriter{Out: w, NoColor: true, TimeFormat: time.RFC3339}
+	return zerolog.New(out).With().Timestamp().Str("name", name).Logger()
+}
