--- a/cmds/script_test.go
+++ b/cmds/script_test.go
@@ -36,8 +36,9 @@
 		Dir:   "testdata",
 		Setup: setup,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"get":   get,
-			"await": await,
+			"get":    get,
+			"await":  await,
+			"expand": expand,
 		},
 	})
 }
@@ -59,6 +60,14 @@
 	return nil
 }
 
+// expand replaces environment variables in files: expand FILE...
+func expand(ts *testscript.TestScript, _ bool, args []string) {
+	for _, f := range args {
+		text := os.Expand(ts.ReadFile(f), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(f), []byte(text), 0o600))
+	}
+}
+
 // request sends a GET with an optional key and returns status and kind.
 func request(url, key string) (int, string) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
--- a/cmds/standin.go
+++ b/cmds/standin.go
@@ -11,6 +11,8 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"rhubarbdrift.example/config"
+	"rhubarbdrift.example/logs"
 	"rhubarbdrift.example/fault"
 )
 
@@ -51,6 +53,5 @@
 
 // standinLog writes one key=value line per event.
 func standinLog(w io.Writer, name string) zerolog.Logger {
-	out := zerolog.ConsoleWriter{Out: w, NoColor: true, TimeFormat: time.RFC3339}
-	return zerolog.New(out).With().Timestamp().Str("name", name).Logger()
+	return logs.New(w, config.DefaultLevel).With().Str("name", name).Logger()
 }
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"golang.org/x/sync/errgroup"
+
 	"rhubarbdrift.example/fault"
 	"rhubarbdrift.example/gate"
 	"rhubarbdrift.example/kern"
@@ -28,7 +30,12 @@
 }
 
 // Run runs the wallet and the owner.
-func (l *limits) Run(ctx context.Context) error { return l.wallet.Run(ctx) }
+func (l *limits) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return l.wallet.Run(ctx) })
+	g.Go(func() error { return l.owner.Run(ctx) })
+	return g.Wait()
+}
 
 // Stop returns unused tokens.
 func (l *limits) Stop(ctx context.Context) error { return l.wallet.Return(ctx) }
