--- a/cmds/standin.go
+++ b/cmds/standin.go
@@ -12,8 +12,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"rhubarbdrift.example/config"
-	"rhubarbdrift.example/logs"
 	"rhubarbdrift.example/fault"
+	"rhubarbdrift.example/logs"
 )
 
 // defaultGrace is the time that a stand-in waits for running work after SIGTERM.
