exch: bound each read of a body instead of the time since the caller's read

Cause: the progress deadline was set only when the buffer was empty, so a chunk that ended in the buffer was read under an old deadline, and a slow caller broke a response whose target made progress. A caller with a deadline of a few milliseconds also made the client reopen all idle connections. Change: the connection sets the deadline before each read; a connection counts as silent only after WithSilence (1 s); closed clients are checked again under the write lock. Conclusion: only the target's own pauses break a body.

--- a/exch/body.go
+++ b/exch/body.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"io"
-	"time"
 )
 
 // errAbandoned is the reason of an exchange whose body was closed early.
@@ -11,9 +10,8 @@
 
 // body reads a response body. It is used by one goroutine at a time.
 type body struct {
-	x     *exchange
-	until time.Time // deadline of the whole body; zero: only the progress deadline
-	err   error
+	x   *exchange
+	err error
 }
 
 // Read returns io.EOF only after the complete body. Any other error means
@@ -26,15 +24,6 @@
 	if x.reader == nil {
 		return 0, io.ErrClosedPipe
 	}
-	if x.reader.Buffered() == 0 {
-		// Set before each read of the connection, so that it bounds the time
-		// without progress and not the time of the whole body.
-		t := time.Now().Add(x.client.progress)
-		if !b.until.IsZero() && b.until.Before(t) {
-			t = b.until
-		}
-		_ = x.conn.SetReadDeadline(t)
-	}
 	n, err := x.answer.BodyStream().Read(p)
 	if err == nil {
 		return n, nil
--- a/exch/client.go
+++ b/exch/client.go
@@ -16,6 +16,10 @@
 	DefaultConnections = 16
 	// DefaultProgress is the time without a byte after which a body is broken.
 	DefaultProgress = 5 * time.Second
+	// DefaultSilence is the shortest time without a response after which a
+	// connection counts as silent. Without it a caller with a deadline of a few
+	// milliseconds would make the client reopen all connections.
+	DefaultSilence = time.Second
 	// DefaultConnect is the time allowed for opening a connection, which takes
 	// about 1 ms in a region and 13 ms between regions.
 	DefaultConnect = time.Second
@@ -37,6 +41,10 @@
 // WithProgress sets the time without a byte after which a body is broken.
 func WithProgress(d time.Duration) Option { return func(c *Client) { c.progress = d } }
 
+// WithSilence sets the shortest time without a response after which a
+// connection counts as silent, so that the idle ones are closed too.
+func WithSilence(d time.Duration) Option { return func(c *Client) { c.silence = d } }
+
 // WithConnect sets the time allowed for opening a connection.
 func WithConnect(d time.Duration) Option { return func(c *Client) { c.connect = d } }
 
@@ -54,6 +62,7 @@
 type Client struct {
 	connections int
 	progress    time.Duration
+	silence     time.Duration
 	connect     time.Duration
 	idle        time.Duration
 	buffer      int
@@ -69,6 +78,7 @@
 	c := &Client{
 		connections: DefaultConnections,
 		progress:    DefaultProgress,
+		silence:     DefaultSilence,
 		connect:     DefaultConnect,
 		idle:        DefaultIdle,
 		buffer:      DefaultBuffer,
@@ -156,14 +166,14 @@
 	c.mu.RLock()
 	p, closed := c.pools[t.Address], c.closed
 	c.mu.RUnlock()
-	if closed {
-		return nil, fault.New(fault.Unavailable, "the client is closed", "send the request to another daemon")
-	}
-	if p != nil {
+	if p != nil && !closed {
 		return p, nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closed {
+		return nil, fault.New(fault.Unavailable, "the client is closed", "send the request to another daemon")
+	}
 	if p = c.pools[t.Address]; p == nil {
 		p = &pool{client: c, address: t.Address}
 		c.pools[t.Address] = p
--- a/exch/exch_test.go
+++ b/exch/exch_test.go
@@ -143,29 +143,34 @@
 func TestSilence(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &scripted{script: func(nc net.Conn, request int) {
-			if request == 3 {
+			if request == 4 || request == 5 {
 				_, _ = nc.Read(make([]byte, 1))
 				return
 			}
-			time.Sleep(time.Second) // keeps both connections busy at once
+			time.Sleep(time.Second) // keeps all connections busy at once
 			send(nc, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
 		}}
 		c := New(WithDial(s.dial))
-		do := func() Outcome {
-			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		do := func(limit time.Duration) Outcome {
+			ctx, cancel := context.WithTimeout(t.Context(), limit)
 			defer cancel()
 			return c.Do(ctx, target, newRequest("GET"), new(fasthttp.Response))
 		}
-		go do()
-		do()
-		synctest.Wait()
+		for range 3 {
+			go do(time.Minute)
+		}
+		time.Sleep(2 * time.Second)
 		_, idle := c.Connections(target)
-		test.Eq(t, 2, idle)
-		test.Eq(t, Silent, do().Class)
+		test.Eq(t, 3, idle)
+		// An impatient caller says nothing about the other connections.
+		test.Eq(t, Silent, do(100*time.Millisecond).Class)
 		open, _ := c.Connections(target)
+		test.Eq(t, 2, open)
+		test.Eq(t, Silent, do(3*time.Second).Class)
+		open, _ = c.Connections(target)
 		test.Eq(t, 0, open)
-		test.Eq(t, Whole, do().Class)
-		test.Eq(t, 3, s.dials.Load())
+		test.Eq(t, Whole, do(time.Minute).Class)
+		test.Eq(t, 4, s.dials.Load())
 		c.Close()
 	})
 }
@@ -232,3 +237,37 @@
 		})
 	}
 }
+
+// TestSlowCaller guards against a body that is broken because the caller, not
+// the target, paused for longer than the progress deadline or past its own
+// deadline, with the reader in the middle of a chunk.
+func TestSlowCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scripted{script: func(nc net.Conn, _ int) {
+			send(nc, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\npro")
+			for _, text := range []string{"of", "\r", "\n0\r\n", "\r\n"} {
+				time.Sleep(DefaultProgress - time.Second)
+				send(nc, text)
+			}
+		}}
+		c := New(WithDial(s.dial))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		var resp fasthttp.Response
+		out := c.Stream(ctx, target, newRequest("GET"), &resp, nil)
+		must.Eq(t, Whole, out.Class)
+		var text []byte
+		for {
+			time.Sleep(2 * DefaultProgress)
+			var b [3]byte
+			n, err := resp.BodyStream().Read(b[:])
+			text = append(text, b[:n]...)
+			if err != nil {
+				test.ErrorIs(t, err, io.EOF)
+				break
+			}
+		}
+		test.Eq(t, "proof", string(text))
+		c.Close()
+	})
+}
--- a/exch/exchange.go
+++ b/exch/exchange.go
@@ -48,7 +48,8 @@
 //
 // The deadline is that of ctx, or model.DefaultDeadline without one. Its
 // remaining time is sent to the target. When ctx is canceled, the connection
-// is closed.
+// is closed. A fasthttp.RequestCtx must not be passed as ctx, because it is
+// canceled when its server begins to stop.
 //
 // If done is not nil, it is called once, when the exchange has ended: before
 // Stream returns for failures and responses without a body, else from the
@@ -90,7 +91,6 @@
 		return end
 	}
 	b := resp.BodyStream().(*body)
-	b.until = b.x.until
 	if data := b.x.collect(b); data != nil {
 		resp.SetBodyRaw(data)
 		resp.Header.SetContentLength(len(data))
@@ -108,7 +108,7 @@
 	}
 	x.conn, err = p.get(x.ctx, x.client.limit(target))
 	if err == nil {
-		x.conn.written, x.conn.read, x.conn.failed = 0, 0, false
+		x.conn.reset()
 	}
 	return err
 }
@@ -179,11 +179,12 @@
 // attach hands the body to the caller.
 func (x *exchange) attach(resp *fasthttp.Response) Outcome {
 	stream, size := x.answer.BodyStream(), x.answer.Header.ContentLength()
+	resp.SkipBody = stream == nil
 	if stream == nil || size == 0 {
 		resp.ResetBody()
-		resp.SkipBody = stream == nil
 		return x.end(true)
 	}
+	x.conn.progress = x.client.progress
 	if size < -1 {
 		return x.buffer(resp)
 	}
@@ -196,7 +197,7 @@
 // buffer reads a response that ends when the target closes.
 func (x *exchange) buffer(resp *fasthttp.Response) Outcome {
 	x.out.Unframed = true
-	if data := x.collect(&body{x: x, until: x.until}); data != nil {
+	if data := x.collect(&body{x: x}); data != nil {
 		resp.SetBodyRaw(data)
 		resp.Header.SetContentLength(len(data))
 	}
@@ -206,6 +207,7 @@
 // collect reads a body into memory and ends the exchange. It returns nil if that fails.
 func (x *exchange) collect(b *body) []byte {
 	limit := x.client.buffer
+	x.conn.until = x.until
 	data, err := io.ReadAll(io.LimitReader(b, int64(limit)+1))
 	if err == nil && len(data) > limit {
 		x.breakOff(fault.New(fault.Limited, "the response exceeds the "+strconv.Itoa(limit)+" bytes that are read into memory",
@@ -260,7 +262,7 @@
 		x.out.Class = Unknown
 		x.out.Err = fault.Wrap(fault.Unknown, err, "target "+address+" closed the connection without a response", "ask for the state before sending the request again")
 	}
-	if x.out.Class == Silent || x.out.Stalled {
+	if x.out.Class == Silent && x.out.Wait >= x.client.silence || x.out.Stalled {
 		x.conn.pool.renew(x.conn)
 	}
 	return x.end(false)
--- a/exch/pool.go
+++ b/exch/pool.go
@@ -142,6 +142,18 @@
 	written int64
 	read    int64
 	failed  bool // a write failed
+
+	// While a body is read, each read of the connection may take this long,
+	// but not beyond until if that is set. It is set for each read, because a
+	// slow caller may pause between two of them for longer.
+	progress time.Duration
+	until    time.Time
+}
+
+// reset prepares the connection for its next exchange.
+func (c *conn) reset() {
+	c.written, c.read, c.failed = 0, 0, false
+	c.progress, c.until = 0, time.Time{}
 }
 
 // Write writes to the connection and counts what was handed over.
@@ -154,6 +166,13 @@
 
 // Read reads from the connection and counts what was received.
 func (c *conn) Read(b []byte) (int, error) {
+	if c.progress > 0 {
+		t := time.Now().Add(c.progress)
+		if !c.until.IsZero() && c.until.Before(t) {
+			t = c.until
+		}
+		_ = c.SetReadDeadline(t) // fails only on a closed connection, which Read reports
+	}
 	n, err := c.Conn.Read(b)
 	c.read += int64(n)
 	return n, err
