--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -12,11 +12,15 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 	"github.com/valyala/fasthttp"
+	"go.uber.org/goleak"
 
 	"rhubarbdrift.example/exch"
 	"rhubarbdrift.example/model"
 )
 
+// TestMain guards against goroutines that outlive their target.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 type bench struct {
 	*Server
 	t      *testing.T
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -13,8 +13,12 @@
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
 )
 
+// TestMain guards against goroutines that outlive their relay.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 // pair returns both ends of a relayed connection.
 func pair(t *testing.T, behind net.Listener, address string) (near, far net.Conn) {
 	near, err := net.Dial("tcp", address)
