--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets are run by developers and CI alike. See README.md.
-.PHONY: all build fmt lint vet unit test
+.PHONY: all build demo fmt lint vet unit test
 
 LINT = go tool -modfile=tools/go.mod golangci-lint
 
@@ -8,6 +8,9 @@
 build:
 	go build -o bin/rhubarbdrift .
 
+demo: build
+	demo/run.sh
+
 fmt:
 	$(LINT) fmt ./...
 
