load: report the tool's own delay

Cause: latency counts from the planned start, so a busy machine shows as latency of the fleet and could not be told apart. Change: p99 of the delay between planned and actual start per customer, and per request in the trace; the log of the stand-ins prints the grace with unit. Measured: make lint and go test -race -count=2 ./load ./cmds pass. Conclusion: a run with a high lag is known to be disturbed.

--- a/cmds/load.go
+++ b/cmds/load.go
@@ -54,6 +54,8 @@
   wrong      complete responses that are not those of their request
   failed     other responses with a status other than 200
   skipped    requests that were not sent because too many were running
+  lag        delay of the tool itself before it sends, which is part of the
+             latencies; if it is high, the machine is too busy for the run
 
 The last column counts refused and unknown requests by kind.
 
--- a/cmds/standin.go
+++ b/cmds/standin.go
@@ -34,7 +34,7 @@
 	g.Go(func() error { return s.Serve(ln) })
 	g.Go(func() error {
 		<-ctx.Done()
-		log.Info().Dur("grace", grace).Msg("stopping")
+		log.Info().Stringer("grace", grace).Msg("stopping")
 		end, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
 		defer cancel()
 		return s.Stop(end)
--- a/load/answer.go
+++ b/load/answer.go
@@ -51,6 +51,7 @@
 	Status   int              `json:"status,omitempty"`
 	Planned  time.Time        `json:"planned"`
 	Latency  time.Duration    `json:"latency"` // from the planned start, nanoseconds
+	Lag      time.Duration    `json:"lag"`     // from the planned to the actual start, nanoseconds
 }
 
 // verify reads the body to its end and reports whether the response is the
--- a/load/report.go
+++ b/load/report.go
@@ -52,16 +52,17 @@
 	P99      float64          `json:"p99"`
 	P999     float64          `json:"p999"`
 	Max      float64          `json:"max"`
+	Lag      float64          `json:"lag"` // p99 of the tool's own delay before it sends, part of the latencies
 }
 
 // Table writes one line per customer.
 func (r *Report) Table(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	_, _ = fmt.Fprintln(t, "customer\tsent\twhole\trefused\tunknown\tbroken\twrong\tfailed\tskipped\tp50 ms\tp99 ms\tp99.9 ms\tmax ms\t  kinds")
+	_, _ = fmt.Fprintln(t, "customer\tsent\twhole\trefused\tunknown\tbroken\twrong\tfailed\tskipped\tp50 ms\tp99 ms\tp99.9 ms\tmax ms\tlag p99 ms\t  kinds")
 	for i := range r.Customers {
 		c := &r.Customers[i]
-		_, _ = fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t  %s\n", c.Customer, c.Sent, c.Whole,
-			c.Refused, c.Unknown, c.Broken, c.Wrong, c.Failed, c.Skipped, c.P50, c.P99, c.P999, c.Max, c.kinds())
+		_, _ = fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t  %s\n", c.Customer, c.Sent, c.Whole,
+			c.Refused, c.Unknown, c.Broken, c.Wrong, c.Failed, c.Skipped, c.P50, c.P99, c.P999, c.Max, c.Lag, c.kinds())
 	}
 	return t.Flush()
 }
@@ -86,10 +87,15 @@
 	mu      sync.Mutex
 	out     Result
 	latency *hdrhistogram.Histogram // microseconds
+	lag     *hdrhistogram.Histogram // microseconds
 }
 
 func newTally(id model.CustomerID) *tally {
-	return &tally{out: Result{Customer: id}, latency: hdrhistogram.New(1, histogramMax, histogramDigits)}
+	return &tally{
+		out:     Result{Customer: id},
+		latency: hdrhistogram.New(1, histogramMax, histogramDigits),
+		lag:     hdrhistogram.New(1, histogramMax, histogramDigits),
+	}
 }
 
 func (t *tally) skip() {
@@ -102,11 +108,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.out.Sent++
+	record(t.lag, a.Lag)
 	switch a.Class {
 	case Whole:
 		t.out.Whole++
-		// Cannot fail, because the value is limited to the histogram's range.
-		_ = t.latency.RecordValue(min(a.Latency.Microseconds(), histogramMax))
+		record(t.latency, a.Latency)
 	case Refused:
 		t.out.Refused++
 	case Unknown:
@@ -129,6 +135,11 @@
 	t.out.Kinds[i].Count++
 }
 
+// record cannot fail, because the value is limited to the histogram's range.
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(max(d.Microseconds(), 0), histogramMax))
+}
+
 func (t *tally) result() Result {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -136,8 +147,8 @@
 	slices.SortFunc(out.Kinds, func(a, b Count) int {
 		return cmp.Or(cmp.Compare(a.Class, b.Class), cmp.Compare(a.Kind, b.Kind))
 	})
-	at := func(q float64) float64 { return float64(t.latency.ValueAtQuantile(q)) / 1000 }
-	out.P50, out.P99, out.P999 = at(50), at(99), at(99.9)
-	out.Max = float64(t.latency.Max()) / 1000
+	at := func(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	out.P50, out.P99, out.P999 = at(t.latency, 50), at(t.latency, 99), at(t.latency, 99.9)
+	out.Max, out.Lag = float64(t.latency.Max())/1000, at(t.lag, 99)
 	return out
 }
--- a/load/run.go
+++ b/load/run.go
@@ -94,7 +94,7 @@
 // ask sends one request and judges the response.
 func (r *runner) ask(c *Customer, index, n int, due time.Time) Answer {
 	id := fmt.Sprintf("%s-%d-%d", r.plan.Name, index, n)
-	a := Answer{Request: id, Customer: c.ID, Planned: due, Entry: r.plan.Entries[(index+n)%len(r.plan.Entries)]}
+	a := Answer{Request: id, Customer: c.ID, Planned: due, Lag: time.Since(due), Entry: r.plan.Entries[(index+n)%len(r.plan.Entries)]}
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
