origin: let the health and load endpoints lag

Cause: the users' targets report health and load late, which a fixed lie does not show. Change: the switch stale makes /health and /load repeat their answer. Conclusion: endpoints can lie and lag.

--- a/cmds/target.go
+++ b/cmds/target.go
@@ -47,6 +47,7 @@
   shed       true: every request is refused
   health     "good" or "bad": what /health claims
   load       "good" or "bad": what /load claims
+  stale      milliseconds for which /health and /load repeat their answer
 
 SIGNALS
 
--- a/origin/faults.go
+++ b/origin/faults.go
@@ -39,6 +39,7 @@
 	Shed      bool               `json:"shed,omitempty"`      // every request is refused with a shed response
 	Health    Lie                `json:"health,omitempty"`
 	Load      Lie                `json:"load,omitempty"`
+	Stale     model.Millis       `json:"stale,omitempty"` // /health and /load repeat their answer for this time
 }
 
 // Check reports the first mistake.
@@ -53,8 +54,8 @@
 	if sum > 1 {
 		return fault.Invalid("shares", "add up to more than 1", "lower one of them")
 	}
-	if f.Slow < 0 || f.Late < 0 {
-		return fault.Invalid("slow or late", "must not be negative", "give a time in milliseconds")
+	if f.Slow < 0 || f.Late < 0 || f.Stale < 0 {
+		return fault.Invalid("slow, late or stale", "must not be negative", "give a time in milliseconds")
 	}
 	for _, l := range []Lie{f.Health, f.Load} {
 		if l != Truth && l != Good && l != Bad {
--- a/origin/handle.go
+++ b/origin/handle.go
@@ -67,33 +67,16 @@
 
 func (s *Server) health(w http.ResponseWriter, r *http.Request) {
 	s.mute(r)
-	f := s.faults.Load()
-	bad := f.Shed || f.Fail+f.Stall+f.Lose >= 0.5
-	if f.Health == Bad || f.Health == Truth && bad {
+	if !s.status().healthy {
 		http.Error(w, "failing", http.StatusServiceUnavailable)
 		return
 	}
 	_, _ = io.WriteString(w, "ok\n")
 }
 
-// Load is the document of the load endpoint.
-type Load struct {
-	Slots    model.Slots `json:"slots"`
-	Busy     model.Slots `json:"busy"`
-	Draining bool        `json:"draining"`
-}
-
 func (s *Server) load(w http.ResponseWriter, r *http.Request) {
 	s.mute(r)
-	f := s.faults.Load()
-	out := Load{Slots: s.slots, Busy: s.Busy(), Draining: f.Drain}
-	switch f.Load {
-	case Good:
-		out.Busy = 0
-	case Bad:
-		out.Busy = s.slots
-	}
-	reply(w, out)
+	reply(w, s.status().load)
 }
 
 // mute holds requests on a silent connection until it is closed.
--- a/origin/server.go
+++ b/origin/server.go
@@ -74,6 +74,7 @@
 	epoch   atomic.Int64 // connections of an earlier epoch are silent
 	mu      sync.Mutex
 	random  *rand.Rand
+	last    status
 	journal journal
 }
 
