quota, share, wallet: follow demand in both regions within three seconds

Cause: a customer at 95% of its rate was refused up to 20% after its traffic moved, since asks to a cut-off region held up those to the local owner, moved shares started with an empty bucket and noise caused moves. Change: the wallet asks the local and the other regions' owners separately, tokens move along with a share, and demand is measured over two spans.

--- a/quota/bucket.go
+++ b/quota/bucket.go
@@ -1,8 +1,9 @@
 package quota
 
 import (
-	"math"
 	"time"
+
+	"rhubarbdrift.example/share"
 )
 
 // grant is the owner's record of tokens that it handed out.
@@ -32,7 +33,7 @@
 	rate, burst float64
 	queue       []*grant // by expiry
 	askers      map[Origin]*asker
-	demand      Meter
+	demand      share.Demand // of the region's daemons
 }
 
 // advance refills up to now and expires grants. Each expiry is applied at its
@@ -130,32 +131,3 @@
 	missing := max(0, 1-b.tokens) / b.rate
 	return min(time.Duration(missing*float64(time.Second))+time.Millisecond, time.Minute)
 }
-
-// meterSpan is the time constant of a Meter. It is short against the settling
-// time of shares (3 s) and long against the gaps of a customer that matters.
-const meterSpan = 500 * time.Millisecond
-
-// Meter estimates a rate as an exponentially decaying count.
-type Meter struct {
-	count float64
-	last  time.Time
-}
-
-// Add counts n events.
-func (m *Meter) Add(now time.Time, n int) {
-	m.decay(now)
-	m.count += float64(n)
-}
-
-func (m *Meter) decay(now time.Time) {
-	if d := now.Sub(m.last); d > 0 {
-		m.count *= math.Exp(-float64(d) / float64(meterSpan))
-		m.last = now
-	}
-}
-
-// Rate returns events per second.
-func (m *Meter) Rate(now time.Time) float64 {
-	m.decay(now)
-	return m.count / meterSpan.Seconds()
-}
--- a/quota/move.go
+++ b/quota/move.go
@@ -46,11 +46,11 @@
 // wished is the last wish of another region.
 type wished struct {
 	at    time.Time
-	needs []Need
+	needs []share.Need
 }
 
 // Handle processes a wish of another region's owner.
-func (o *Owner) Handle(w Wish) {
+func (o *Owner) Handle(w share.Wish) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.clock()
@@ -151,6 +151,15 @@
 		}
 	}
 	s.record, s.version, s.move, s.tell = r, version, nil, true
+	if r.Gift == nil || r.Gift.To != o.region {
+		return
+	}
+	for id, n := range r.Gift.Tokens {
+		if b := o.bucket(s, id, now); b != nil {
+			b.tokens += n
+			b.clamp()
+		}
+	}
 }
 
 // plan makes the first step of a move to a region that wishes for more.
@@ -167,25 +176,40 @@
 			continue
 		}
 		if parts := o.gifts(s, region, w.needs, now); len(parts) > 0 {
-			s.move = &moving{Move: share.Move{To: region, Parts: parts}}
+			o.lower(s, share.Move{To: region, Parts: parts, Gift: map[model.CustomerID]float64{}}, now)
 			return
 		}
 	}
 }
 
-func (o *Owner) gifts(s *shard, to model.Region, needs []Need, now time.Time) map[model.CustomerID][2]share.Part {
+// lower makes the first step of a move. The tokens that no longer fit go along
+// with the share, at most as many as the burst is lowered by: the giver's
+// bucket may fill up to the lowered burst while they are on their way.
+func (o *Owner) lower(s *shard, m share.Move, now time.Time) {
+	before := map[model.CustomerID]bucket{}
+	for id := range m.Parts {
+		before[id] = *o.bucket(s, id, now)
+	}
+	s.move = &moving{Move: m}
+	for id, old := range before {
+		b := o.bucket(s, id, now)
+		m.Gift[id] = max(0, min(old.tokens-b.tokens, old.burst-b.burst))
+	}
+}
+
+func (o *Owner) gifts(s *shard, to model.Region, needs []share.Need, now time.Time) map[model.CustomerID][2]share.Part {
 	parts := map[model.CustomerID][2]share.Part{}
 	for _, n := range needs {
 		c, ok := o.customers(n.Customer)
 		if !ok {
 			continue
 		}
-		own := 0.0
+		var own share.Rates
 		if b := s.buckets[n.Customer]; b != nil {
-			own = b.demand.Rate(now)
+			own = b.demand.Rates(now)
 		}
 		giver, taker := s.record.Part(c, o.region, o.regions), s.record.Part(c, to, o.regions)
-		if giver, taker, ok = share.Shift(c, giver, taker, own, float64(n.Demand)); ok {
+		if giver, taker, ok = share.Shift(c, giver, taker, own, n.Demand); ok {
 			parts[n.Customer] = [2]share.Part{giver, taker}
 		}
 	}
@@ -240,7 +264,7 @@
 func (o *Owner) wish(ctx context.Context, s *shard) {
 	o.mu.Lock()
 	now := o.clock()
-	w := Wish{Shard: s.id, From: o.region, Version: s.version}
+	w := share.Wish{Shard: s.id, From: o.region, Version: s.version}
 	if s.ready && (s.tell || now.Sub(s.wishedAt) >= wishGap) {
 		w.Needs = o.needs(s, now)
 	}
@@ -263,13 +287,18 @@
 	}
 }
 
-func (o *Owner) needs(s *shard, now time.Time) []Need {
-	var list []Need
+// needs lists the customers whose demand comes near their share.
+func (o *Owner) needs(s *shard, now time.Time) []share.Need {
+	var list []share.Need
 	for _, id := range slices.Sorted(maps.Keys(s.buckets)) {
 		b := s.buckets[id]
-		d := b.demand.Rate(now)
-		if d > 0 && d >= needPart*b.rate {
-			list = append(list, Need{Customer: id, Demand: model.Rate(d)})
+		d := b.demand.Rates(now)
+		if d.Fast > 0 && d.Fast >= needPart*b.rate {
+			list = append(list, share.Need{Customer: id, Demand: d})
+		}
+		// A region cut off from the giver does not hear of a move that was written.
+		if d.Fast > b.rate && now.Sub(s.checked) >= writeGap {
+			s.checked, s.behind = now, true
 		}
 	}
 	return list
--- a/quota/owner.go
+++ b/quota/owner.go
@@ -33,7 +33,7 @@
 	table     Table
 	customers Customers
 	platform  store.Store
-	peers     Peers
+	peers     share.Peers
 	clock     model.Clock
 
 	mu     sync.Mutex
@@ -56,7 +56,8 @@
 	behind        bool // a newer record exists
 	tell          bool // a peer has an older record
 	move          *moving
-	written       time.Time
+	written       time.Time // when a move was last written
+	checked       time.Time // when a newer record was last looked for without a hint
 	wishes        map[model.Region]wished
 	wishedAt      time.Time
 }
@@ -77,7 +78,7 @@
 // NewOwner returns an owner in a region. regions lists all regions, the same
 // on every daemon.
 func NewOwner(region model.Region, regions []model.Region, table Table, customers Customers,
-	platform store.Store, peers Peers, options ...OwnerOption,
+	platform store.Store, peers share.Peers, options ...OwnerOption,
 ) *Owner {
 	o := &Owner{
 		region: region, regions: regions, shards: DefaultShards, table: table, customers: customers,
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -42,7 +42,6 @@
 
 	"rhubarbdrift.example/fault"
 	"rhubarbdrift.example/model"
-	"rhubarbdrift.example/store"
 )
 
 const (
@@ -115,26 +114,6 @@
 	Owner(s model.Shard) (model.HostID, bool)
 }
 
-// Wish tells the owner of the same shard in another region what this region
-// needs and which version of the share record it knows.
-type Wish struct {
-	Shard   model.Shard   `cbor:"1,keyasint"`
-	From    model.Region  `cbor:"2,keyasint"`
-	Version store.Version `cbor:"3,keyasint"`
-	Needs   []Need        `cbor:"4,keyasint,omitempty"`
-}
-
-// Need is the demand of one customer in a region.
-type Need struct {
-	Customer model.CustomerID `cbor:"1,keyasint"`
-	Demand   model.Rate       `cbor:"2,keyasint"` // requests per second
-}
-
-// Peers carries wishes to the owner of the same shard in another region.
-type Peers interface {
-	Wish(ctx context.Context, to model.Region, w Wish) error
-}
-
 // Refusal is the error of Take and Admit. It unwraps to a typed fault.
 type Refusal struct {
 	Wait  time.Duration // after which a token is expected, for fault.Limited
--- a/share/share.go
+++ b/share/share.go
@@ -19,6 +19,7 @@
 	"context"
 	"maps"
 	"math"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/google/uuid"
@@ -40,6 +41,35 @@
 	Writer  string                                     `cbor:"1,keyasint"` // nonce of the last write
 	Holders map[model.Region]string                    `cbor:"2,keyasint"`
 	Shares  map[model.CustomerID]map[model.Region]Part `cbor:"3,keyasint"`
+	// Gift holds the tokens that the last write moved with the shares. The
+	// taker adds them when it reads exactly this version, so they count once.
+	Gift *Gift `cbor:"4,keyasint,omitempty"`
+}
+
+// Gift is a number of tokens per customer for one region.
+type Gift struct {
+	To     model.Region                 `cbor:"1,keyasint"`
+	Tokens map[model.CustomerID]float64 `cbor:"2,keyasint"`
+}
+
+// Wish tells the owner of the same shard in another region what this region
+// needs and which version of the record it knows.
+type Wish struct {
+	Shard   model.Shard   `cbor:"1,keyasint"`
+	From    model.Region  `cbor:"2,keyasint"`
+	Version store.Version `cbor:"3,keyasint"`
+	Needs   []Need        `cbor:"4,keyasint,omitempty"`
+}
+
+// Need is the demand of one customer in a region.
+type Need struct {
+	Customer model.CustomerID `cbor:"1,keyasint"`
+	Demand   Rates            `cbor:"2,keyasint"`
+}
+
+// Peers carries wishes to the owner of the same shard in another region.
+type Peers interface {
+	Wish(ctx context.Context, to model.Region, w Wish) error
 }
 
 // shareSlack allows for rounding when shares are added up.
@@ -66,7 +96,7 @@
 // Encode returns the stored form.
 func (r *Record) Encode() ([]byte, error) { return cbor.Marshal(r) }
 
-// Clone returns a copy with a new writer's nonce that can be changed.
+// Clone returns a copy for a further write: with a new nonce and no gift.
 func (r *Record) Clone() *Record {
 	n := &Record{Writer: uuid.NewString(), Holders: maps.Clone(r.Holders), Shares: maps.Clone(r.Shares)}
 	if n.Holders == nil {
@@ -109,7 +139,11 @@
 	leastRate = 0.02
 	// leastMove is the hysteresis: smaller moves are not made, so that noise in
 	// the demand causes no writes.
-	leastMove = 0.1
+	leastMove = 0.05
+	// noiseFactor is the number of standard deviations of the estimated demand
+	// that a move must exceed. Checks are made several times a second, so that
+	// three would often be exceeded by chance.
+	noiseFactor = 4
 )
 
 // wholeMove is the factor between the demands of two regions at which a share
@@ -118,10 +152,10 @@
 
 // Shift returns the parts of giver and taker that follow their demands, and
 // false if the change is too small. A burst below two tokens is not divided.
-func Shift(c *model.Customer, giver, taker Part, own, other float64) (Part, Part, bool) {
+func Shift(c *model.Customer, giver, taker Part, own, other Rates) (Part, Part, bool) {
 	if both := giver.Burst + taker.Burst; float64(both)*float64(c.Burst) < 2 {
 		moved := Part{Rate: giver.Rate + taker.Rate, Burst: both}
-		return Part{}, moved, giver.Burst > 0 && other > wholeMove*own
+		return Part{}, moved, giver.Burst > 0 && other.Fast > wholeMove*own.Fast
 	}
 	rate, ok := raise(float64(giver.Rate), float64(taker.Rate), own, other, leastRate)
 	if !ok {
@@ -136,14 +170,32 @@
 	return giver, taker, true
 }
 
-// raise returns how much of the giver's share moves to the taker.
-func raise(giver, taker, own, other, least float64) (float64, bool) {
+// raise returns how much of the giver's share moves to the taker: what the
+// recent demand asks for if that is clear by itself, otherwise what the recent
+// and the longer-term demand both ask for.
+func raise(giver, taker float64, own, other Rates, least float64) (float64, bool) {
 	total := giver + taker
-	if total < 2*least || own+other <= 0 {
+	if total < 2*least {
+		return 0, false
+	}
+	fast, clear := excess(total, taker, own.Fast, other.Fast, least, fastSpan)
+	if clear {
+		return fast, true
+	}
+	slow, clear := excess(total, taker, own.Slow, other.Slow, least, slowSpan)
+	return math.Min(fast, slow), clear && fast >= total*leastMove
+}
+
+// excess returns by how much the taker's part of the demand, measured over a
+// span, exceeds its share, and whether that is more than noise.
+func excess(total, taker, own, other, least float64, span time.Duration) (float64, bool) {
+	if own+other <= 0 {
 		return 0, false
 	}
-	want := math.Max(least, math.Min(total-least, total*other/(own+other)))
-	return want - taker, want-taker >= leastMove*total
+	part := other / (own + other)
+	noise := math.Sqrt(part * (1 - part) / ((own + other) * 2 * span.Seconds()))
+	want := math.Max(least, math.Min(total-least, total*part))
+	return want - taker, want-taker >= total*math.Max(leastMove, noiseFactor*noise)
 }
 
 // Move is a share move of which the first step has been made: the parts of the
@@ -151,6 +203,7 @@
 type Move struct {
 	To    model.Region
 	Parts map[model.CustomerID][2]Part
+	Gift  map[model.CustomerID]float64 // tokens that the giver took out of its buckets
 }
 
 // Apply returns the record after the move. Customers that are not configured
@@ -169,6 +222,7 @@
 		parts[from], parts[m.To] = moved[0], moved[1]
 		n.Shares[id] = parts
 	}
+	n.Gift = &Gift{To: m.To, Tokens: m.Gift}
 	return n
 }
 
--- a/wallet/account.go
+++ b/wallet/account.go
@@ -10,6 +10,7 @@
 	"rhubarbdrift.example/fault"
 	"rhubarbdrift.example/model"
 	"rhubarbdrift.example/quota"
+	"rhubarbdrift.example/share"
 )
 
 // account is what a wallet knows of one customer.
@@ -22,14 +23,58 @@
 	mu      sync.Mutex
 	grants  []*held
 	last    time.Time // of the last request
-	demand  quota.Meter
+	demand  share.Demand
 	seen    int           // requests that the local owner does not know of
-	waiting int           // requests that wait for the ask under way
+	waiting int           // requests that wait for tokens
 	got     int           // size of the last grant
-	filling chan struct{} // closed when the ask under way ends; nil without one
-	until   time.Time     // no ask before
+	lanes   [2]lane       // to the local owner and to the other regions'
+	news    chan struct{} // closed when an ask ends; nil if nobody waits
+}
+
+// lane is a way to get tokens, with at most one ask under way.
+type lane struct {
+	asking  bool
+	until   time.Time // no ask before
 	backoff time.Duration
-	cause   error // why there is no ask before until
+	cause   error // of the last refusal; nil after a grant
+}
+
+// end processes the result of an ask.
+func (l *lane) end(now time.Time, cause error, wait time.Duration, i int) {
+	l.asking, l.cause = false, cause
+	if cause == nil {
+		l.backoff, l.until = 0, time.Time{}
+		return
+	}
+	factor := time.Duration(1)
+	if i > 0 {
+		factor = remoteBackoff
+	}
+	l.backoff = min(max(leastBackoff*factor, 2*l.backoff), mostBackoff*factor)
+	l.until = now.Add(max(min(wait, longestWait), l.backoff))
+}
+
+// listen returns a channel that is closed when the next ask ends.
+func (a *account) listen() <-chan struct{} {
+	if a.news == nil {
+		a.news = make(chan struct{})
+	}
+	return a.news
+}
+
+func (a *account) tell() {
+	if a.news != nil {
+		close(a.news)
+		a.news = nil
+	}
+}
+
+// next returns the time of the next possible ask.
+func (a *account) next() time.Time {
+	if l := a.lanes; l[1].until.Before(l[0].until) {
+		return l[1].until
+	}
+	return a.lanes[0].until
 }
 
 // held is a grant at its asker. free + spent + returned <= n; the rest belongs
@@ -64,7 +109,7 @@
 
 // low reports whether a busy customer's tokens should be refilled ahead of need.
 func (a *account) low() bool {
-	if a.got < 2 || a.filling != nil {
+	if a.got < 2 {
 		return false
 	}
 	free := 0
@@ -90,23 +135,18 @@
 	a.grants = append(a.grants, &held{id: g.ID, region: r, expires: expires, prompt: g.Prompt, n: g.N, free: g.N, told: quota.Report{Grant: g.ID}})
 	slices.SortFunc(a.grants, func(x, y *held) int { return x.expires.Compare(y.expires) })
 	a.active.Store(true)
-	a.got, a.backoff, a.until, a.cause = g.N, 0, time.Time{}, nil
+	a.got = g.N
 	return true
 }
 
-// refuse stops asks for a time. It doubles while there is no grant in between.
-func (a *account) refuse(now time.Time, wait time.Duration, cause error) {
-	a.backoff = min(max(leastBackoff, 2*a.backoff), mostBackoff)
-	a.until = now.Add(max(wait, a.backoff))
-	a.cause = cause
-}
-
-// refusal returns the error for a request that gets no token.
-func (a *account) refusal(now time.Time) error {
-	if fault.Is(a.cause, fault.Limited) {
-		return quota.Limited(max(a.until.Sub(now), time.Millisecond))
+// refusal returns the error for a request that gets no token until a time.
+func (a *account) refusal(now, until time.Time) error {
+	for _, l := range a.lanes {
+		if l.cause == nil || fault.Is(l.cause, fault.Limited) {
+			return quota.Limited(max(until.Sub(now), leastBackoff))
+		}
 	}
-	return quota.Unreached(a.cause)
+	return quota.Unreached(a.lanes[0].cause)
 }
 
 // reports returns what the region's owner does not know yet.
--- a/wallet/wallet.go
+++ b/wallet/wallet.go
@@ -51,9 +51,14 @@
 	avoidTime = 250 * time.Millisecond
 	// leastBackoff and mostBackoff bound the time without asks after a refusal.
 	// It doubles while refusals go on, so that a customer far above its rate
-	// causes few asks.
-	leastBackoff = 10 * time.Millisecond
-	mostBackoff  = 160 * time.Millisecond
+	// causes few asks. Asks to other regions are billed: their backoff is
+	// remoteBackoff times as long.
+	leastBackoff  = 5 * time.Millisecond
+	mostBackoff   = 40 * time.Millisecond
+	remoteBackoff = 5
+	// longestWait bounds the time without asks that an owner causes. The owner
+	// learns the demand from asks, and a share that moves shortens the wait.
+	longestWait = 100 * time.Millisecond
 	// prefetch is the time whose expected need is asked for at once.
 	prefetch = 200 * time.Millisecond
 	// walletTick is the period of reports and returns.
@@ -130,8 +135,8 @@
 		a.mu.Unlock()
 		return w.wait(ctx, a, now.Add(patience))
 	}
-	if a.low() && !now.Before(a.until) {
-		w.fill(a)
+	if a.low() {
+		w.fill(a, now)
 	}
 	a.mu.Unlock()
 	return Admission{wallet: w, account: a, grant: g}, nil
@@ -153,35 +158,30 @@
 	return a
 }
 
-// wait waits for tokens that an ask brings.
+// wait waits for tokens that asks bring.
 func (w *Wallet) wait(ctx context.Context, a *account, limit time.Time) (Admission, error) {
+	a.mu.Lock()
+	a.waiting++
+	defer func() {
+		a.waiting--
+		a.mu.Unlock()
+	}()
 	for {
-		a.mu.Lock()
 		now := w.clock()
 		if g := a.draw(now); g != nil {
-			a.mu.Unlock()
 			return Admission{wallet: w, account: a, grant: g}, nil
 		}
-		var done <-chan struct{}
 		until := limit
-		if now.Before(a.until) {
-			until = a.until
-		} else if now.Before(limit) {
-			done = w.fill(a)
-			a.waiting++
+		if !w.fill(a, now) {
+			until = a.next()
 		}
 		if !now.Before(limit) || until.After(limit) {
-			err := a.refusal(now)
-			a.mu.Unlock()
-			return Admission{}, err
+			return Admission{}, a.refusal(now, until)
 		}
+		news := a.listen()
 		a.mu.Unlock()
-		err := sleep(ctx, done, until.Sub(now))
-		if done != nil {
-			a.mu.Lock()
-			a.waiting--
-			a.mu.Unlock()
-		}
+		err := sleep(ctx, news, until.Sub(now))
+		a.mu.Lock()
 		if err != nil {
 			return Admission{}, fault.Wrap(fault.Late, err, "the request ended while it waited for its limit", "retry with a longer deadline")
 		}
@@ -202,51 +202,48 @@
 	}
 }
 
-// fill starts an ask for tokens unless one is under way. The account is
-// locked. The ask does not end with the request that caused it, since others
-// wait for it too.
-func (w *Wallet) fill(a *account) <-chan struct{} {
-	if a.filling != nil {
-		return a.filling
+// fill starts asks for tokens and reports whether one is under way. The account
+// is locked. While the local owner refuses, the other regions' are asked. An
+// ask does not end with the request that caused it, since others wait for it too.
+func (w *Wallet) fill(a *account, now time.Time) bool {
+	for i := range a.lanes {
+		l := &a.lanes[i]
+		if !l.asking && !now.Before(l.until) {
+			l.asking = true
+			w.asks.Go(func() { w.askLane(a, l, i) })
+		}
+		if l.asking && l.cause == nil {
+			break // no need to ask further lanes yet
+		}
 	}
-	done := make(chan struct{})
-	a.filling = done
-	w.asks.Go(func() {
-		w.askAll(a)
-		a.mu.Lock()
-		a.filling = nil
-		a.mu.Unlock()
-		close(done)
-	})
-	return done
+	return a.lanes[0].asking || a.lanes[1].asking
 }
 
-// askAll asks the local owner and, if that does not help, the other regions'.
-func (w *Wallet) askAll(a *account) {
-	var cause error
-	var wait time.Duration
-	for i, r := range w.regions {
+// askLane asks the lane's owners until one grants.
+func (w *Wallet) askLane(a *account, l *lane, i int) {
+	list, timeout := w.regions[:1], localTimeout
+	if i > 0 {
+		list, timeout = w.regions[1:], remoteTimeout
+	}
+	cause, wait := error(quota.Unreached(nil)), time.Duration(0)
+	for _, r := range list {
 		if w.avoids(path{r, a.shard}) {
 			continue
 		}
-		timeout := remoteTimeout
-		if i == 0 {
-			timeout = localTimeout
-		}
 		err := w.ask(a, r, timeout, true)
 		if err == nil {
-			return
+			cause = nil
+			break
 		}
-		if d := quota.WaitOf(err); fault.Is(err, fault.Limited) && (wait == 0 || d < wait) {
+		if d := quota.WaitOf(err); d > 0 && (wait == 0 || d < wait) {
 			wait = d
 		}
-		if cause == nil || fault.Is(err, fault.Limited) {
-			cause = err
-		}
+		cause = err
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.refuse(w.clock(), wait, cause)
+	l.end(w.clock(), cause, wait, i)
+	a.tell()
 }
 
 // ask sends one Take with the reports for the region's owner.
