roster: run the member of a cell and keep its roster

Change: Service ticks every 2 s, sends heartbeats over package wire, reads roster and root when the member needs it, joins its own host, removes one absent host at a time and collects the votes for leases (Roster, Contact, Endorse). A roster is changed only after more than half of its members hold it, so majorities of successive rosters share a member; a removal also needs a majority that holds the newest configuration.

Conclusion: usable by the daemon. If half of a roster is lost for good, its object must be deleted by hand.

--- /dev/null
+++ b/roster/link.go
@@ -0,0 +1,109 @@
+package roster
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"rhubarbdrift.example/cell"
+	"rhubarbdrift.example/wire"
+)
+
+const (
+	methodBeat   = "cell.beat"
+	methodAsk    = "cell.ask"
+	methodRoster = "cell.roster"
+)
+
+// Nothing is the request of a method without parameters.
+type Nothing struct{}
+
+// Link is the Transport over package wire.
+type Link struct {
+	pool    *wire.Pool
+	ctx     context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+	mu      sync.Mutex
+	senders map[string]*sender
+}
+
+type sender struct {
+	*wire.Sender[cell.Beat]
+	cancel context.CancelFunc
+}
+
+var _ Transport = (*Link)(nil)
+
+// NewLink returns a transport over the pool's connections. Close ends it.
+func NewLink(p *wire.Pool) *Link {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Link{pool: p, ctx: ctx, cancel: cancel, senders: make(map[string]*sender)}
+}
+
+// Close ends all streams of heartbeats.
+func (l *Link) Close() {
+	l.cancel()
+	l.running.Wait()
+}
+
+// Send posts a heartbeat on the stream to the address.
+func (l *Link) Send(address string, b cell.Beat) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.senders[address]
+	if s == nil {
+		ctx, cancel := context.WithCancel(l.ctx)
+		s = &sender{Sender: wire.NewSender[cell.Beat](l.pool.Client(address), methodBeat), cancel: cancel}
+		l.senders[address] = s
+		l.running.Go(func() { _ = s.Run(ctx) })
+	}
+	s.Post(&b)
+}
+
+// Reset drops the connection to an address.
+func (l *Link) Reset(address string) { l.pool.Client(address).Reset() }
+
+// Retain ends the streams to other addresses than these and closes their connections.
+func (l *Link) Retain(addresses []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for a, s := range l.senders {
+		if !slices.Contains(addresses, a) {
+			s.cancel()
+			delete(l.senders, a)
+			l.pool.Forget(a)
+		}
+	}
+}
+
+// Ask puts a question to a member.
+func (l *Link) Ask(ctx context.Context, address string, q cell.Question) (cell.Answer, error) {
+	a, err := wire.Call[cell.Question, cell.Answer](ctx, l.pool.Client(address), methodAsk, &q)
+	if err != nil {
+		return cell.Answer{}, err
+	}
+	return *a, nil
+}
+
+// Roster reads the roster that a daemon holds.
+func (l *Link) Roster(ctx context.Context, address string) (cell.Roster, error) {
+	r, err := wire.Call[Nothing, cell.Roster](ctx, l.pool.Client(address), methodRoster, &Nothing{})
+	if err != nil {
+		return cell.Roster{}, err
+	}
+	return *r, nil
+}
+
+// Register makes the server answer for the service's member.
+func Register(w *wire.Server, s *Service) {
+	wire.Receive(w, methodBeat, func(_ context.Context, b *cell.Beat) { s.member.Handle(*b) })
+	wire.Handle(w, methodAsk, func(ctx context.Context, q *cell.Question) (*cell.Answer, error) {
+		a := s.Take(ctx, *q)
+		return &a, nil
+	})
+	wire.Handle(w, methodRoster, func(context.Context, *Nothing) (*cell.Roster, error) {
+		r := s.TakeRoster()
+		return &r, nil
+	})
+}
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,159 @@
+package roster
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sync/errgroup"
+
+	"rhubarbdrift.example/cell"
+	"rhubarbdrift.example/fault"
+	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/store"
+)
+
+// join adds this host to the roster if it holds the newest configuration.
+func (s *Service) join(ctx context.Context, r cell.Roster, newest model.ConfigVersion) {
+	m := s.member
+	if r.Has(m.Self().ID) || m.Status().Version < newest {
+		return
+	}
+	if len(r.Hosts) >= cell.MaxMembers {
+		s.logger.Error().Str("cell", string(m.Name())).Int("members", len(r.Hosts)).
+			Msg("the cell is full; name another cell in the settings of this host")
+		return
+	}
+	if len(r.Hosts) > 0 && !m.Settled(0) {
+		return
+	}
+	s.write(ctx, cell.Roster{Version: r.Version, Hosts: append(slices.Clone(r.Hosts), m.Self())}, "joined the cell")
+}
+
+// prune removes one host that has been gone for AbsentFor.
+func (s *Service) prune(ctx context.Context, r cell.Roster, newest model.ConfigVersion) {
+	if !s.member.Watches() || !s.readHosts(ctx) {
+		return
+	}
+	gone, ok := s.absent(r)
+	if !ok || r.Version != s.member.Held().Version || !s.member.Settled(newest) {
+		return
+	}
+	hosts := slices.DeleteFunc(slices.Clone(r.Hosts), func(h cell.Host) bool { return h.ID == gone })
+	s.write(ctx, cell.Roster{Version: r.Version, Hosts: hosts}, "removed the absent host "+string(gone))
+}
+
+// readHosts reads the host list from time to time and reports whether it did.
+func (s *Service) readHosts(ctx context.Context) bool {
+	s.rounds++
+	if s.rounds%hostsEvery != 0 {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	hosts, err := s.store.Hosts(ctx)
+	if err != nil {
+		return false
+	}
+	for _, h := range hosts {
+		s.listed[h.ID] = s.clock()
+	}
+	return true
+}
+
+// absent returns a member that neither the host list nor a heartbeat has shown
+// for AbsentFor, as far as this daemon has been running to see it.
+func (s *Service) absent(r cell.Roster) (model.HostID, bool) {
+	now := s.clock()
+	if now.Sub(s.started) < cell.AbsentFor {
+		return "", false
+	}
+	for _, p := range s.member.Peers() {
+		if r.Has(p.ID) && now.Sub(p.Heard) >= cell.AbsentFor && now.Sub(s.listed[p.ID]) >= cell.AbsentFor {
+			return p.ID, true
+		}
+	}
+	return "", false
+}
+
+func (s *Service) write(ctx context.Context, r cell.Roster, what string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	match := r.Version
+	r.Version = 0 // the object's version counts
+	value, err := cbor.Marshal(r)
+	if err != nil {
+		return
+	}
+	at, err := s.store.Put(ctx, store.KindCell, string(s.member.Name()), value, match)
+	if err != nil {
+		if !fault.Is(err, fault.Conflict) {
+			s.logger.Warn().Err(err).Str("cell", string(s.member.Name())).Msg("the roster could not be updated; trying again in the next period")
+		}
+		return // after a lost answer the next round reads what became of it
+	}
+	r.Version = at
+	s.member.Adopt(r, true)
+	s.logger.Info().Str("cell", string(s.member.Name())).Int("members", len(r.Hosts)).Msg(what)
+}
+
+// Roster returns the version and the hosts of the roster, for the votes of
+// package lease.
+func (s *Service) Roster() (uint64, []model.HostID) {
+	r := s.member.Held()
+	ids := make([]model.HostID, 0, len(r.Hosts))
+	for _, h := range r.Hosts {
+		ids = append(ids, h.ID)
+	}
+	return uint64(r.Version), ids
+}
+
+// Contact asks all members of the roster and returns how many state that they
+// have no contact to the platform, counting this one. A holder may continue
+// for one period from the start of the call if that is more than half.
+func (s *Service) Contact(ctx context.Context) int {
+	_, ids := s.Roster()
+	return s.poll(ctx, ids, cell.Question{Ask: cell.AskContact})
+}
+
+// Endorse asks the given members and returns how many state that they have
+// contact to the platform and have not said otherwise for two periods. The
+// takeover must be written within one period from the start of the call.
+func (s *Service) Endorse(ctx context.Context, members []model.HostID, shard model.Shard) int {
+	return s.poll(ctx, members, cell.Question{Ask: cell.AskEndorse, Shard: shard})
+}
+
+func (s *Service) poll(ctx context.Context, ids []model.HostID, q cell.Question) int {
+	ctx, cancel := context.WithTimeout(ctx, cell.Period-100*time.Millisecond)
+	defer cancel()
+	q.From = s.member.Self().ID
+	addresses := make(map[model.HostID]string)
+	for _, h := range s.member.Held().Hosts {
+		addresses[h.ID] = h.Address
+	}
+	var count atomic.Int32
+	var g errgroup.Group
+	for _, id := range ids {
+		g.Go(func() error {
+			if s.asked(ctx, id, addresses[id], q) {
+				count.Add(1)
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return int(count.Load())
+}
+
+func (s *Service) asked(ctx context.Context, id model.HostID, address string, q cell.Question) bool {
+	if id == q.From {
+		return s.Take(ctx, q).Yes
+	}
+	if address == "" {
+		return false
+	}
+	a, err := s.transport.Ask(ctx, address, q)
+	return err == nil && a.From == id && a.Yes
+}
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,198 @@
+package roster
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"rhubarbdrift.example/cell"
+	"rhubarbdrift.example/fault"
+	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/store"
+)
+
+// network connects services in memory; each service has its own path to the
+// platform.
+type network struct {
+	mem      *store.Mem
+	mu       sync.Mutex
+	services map[string]*Service
+	down     map[string]bool
+	stop     map[string]context.CancelFunc
+	group    sync.WaitGroup
+}
+
+func newNetwork() *network {
+	return &network{
+		mem: store.NewMem(), services: make(map[string]*Service),
+		down: make(map[string]bool), stop: make(map[string]context.CancelFunc),
+	}
+}
+
+// to returns the service at an address, or nil if it cannot be reached.
+func (n *network) to(from, address string) *Service {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.down[from] || n.down[address] {
+		return nil
+	}
+	return n.services[address]
+}
+
+func (n *network) cut(address string, down bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.down[address] = down
+}
+
+type path struct {
+	net  *network
+	from string
+}
+
+func (p path) Send(address string, b cell.Beat) {
+	if s := p.net.to(p.from, address); s != nil {
+		s.Member().Handle(b)
+	}
+}
+
+func (path) Reset(string)    {}
+func (path) Retain([]string) {}
+
+func (p path) Ask(ctx context.Context, address string, q cell.Question) (cell.Answer, error) {
+	if s := p.net.to(p.from, address); s != nil {
+		return s.Take(ctx, q), nil
+	}
+	return cell.Answer{}, fault.New(fault.Unavailable, "cut", "retry")
+}
+
+func (p path) Roster(_ context.Context, address string) (cell.Roster, error) {
+	if s := p.net.to(p.from, address); s != nil {
+		return s.TakeRoster(), nil
+	}
+	return cell.Roster{}, fault.New(fault.Unavailable, "cut", "retry")
+}
+
+// start runs one daemon in place of an earlier one of the name. All hold
+// version 1 of the configuration.
+func (n *network) start(ctx context.Context, name, incarnation string, seeds ...string) *store.Link {
+	if stop := n.stop[name]; stop != nil {
+		stop()
+	}
+	ctx, n.stop[name] = context.WithCancel(ctx)
+	link := n.mem.Link()
+	m := cell.NewMember(cell.Host{ID: model.HostID(name), Address: name}, "c", model.Incarnation(incarnation))
+	m.SetVersion(1)
+	s := NewService(m, link, path{n, name}, WithSeeds(seeds), WithReader(func(ctx context.Context) (model.ConfigVersion, error) {
+		_, err := link.Get(ctx, store.KindConf, "root")
+		return 1, err
+	}))
+	n.mu.Lock()
+	n.services[name] = s
+	n.mu.Unlock()
+	n.group.Go(func() { _ = s.Run(ctx) })
+	return link
+}
+
+// run starts a cell of five and calls f after it has formed.
+func run(t *testing.T, f func(t *testing.T, ctx context.Context, n *network, links map[string]*store.Link)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork()
+		_, err := n.mem.Put(t.Context(), store.KindConf, "root", nil, 0)
+		must.NoError(t, err)
+		ctx, cancel := context.WithCancel(t.Context())
+		links := make(map[string]*store.Link)
+		for i := range 5 {
+			name := fmt.Sprint("h", i)
+			n.mem.SetHost(store.Host{ID: model.HostID(name), Address: name})
+			links[name] = n.start(ctx, name, "1")
+		}
+		time.Sleep(90 * time.Second)
+		f(t, ctx, n, links)
+		cancel()
+		n.group.Wait()
+	})
+}
+
+func members(n *network, name string) int {
+	_, ids := n.services[name].Roster()
+	return len(ids)
+}
+
+// TestRoster guards against hosts that do not join, against the removal of a
+// host that is only silent or only off the list, and against one that stays
+// although it is gone.
+func TestRoster(t *testing.T) {
+	run(t, func(t *testing.T, _ context.Context, n *network, _ map[string]*store.Link) {
+		for name, s := range n.services {
+			must.EqOp(t, 5, members(n, name), must.Sprint(name))
+			must.True(t, s.Member().Fresh())
+			must.True(t, s.Member().Accepted(1))
+		}
+		before := n.mem.Calls().Get
+		time.Sleep(100 * time.Second)
+		must.LessEq(t, 2*2*51, n.mem.Calls().Get-before, must.Sprint("only two members read, roster and root"))
+		n.mem.RemoveHost("h3")
+		time.Sleep(90 * time.Second)
+		must.EqOp(t, 5, members(n, "h0"), must.Sprint("it still sends heartbeats"))
+		n.cut("h4", true)
+		time.Sleep(90 * time.Second)
+		must.EqOp(t, 5, members(n, "h0"), must.Sprint("it is still on the list"))
+		n.cut("h3", true)
+		time.Sleep(90 * time.Second)
+		must.EqOp(t, 4, members(n, "h0"))
+	})
+}
+
+// TestOutage guards against a cell that loses freshness or its roster when the
+// platform is gone for long, also for a daemon that starts meanwhile.
+func TestOutage(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context, n *network, links map[string]*store.Link) {
+		for _, l := range links {
+			l.SetUnavailable(true)
+		}
+		n.mem.SetUnavailable(true)
+		time.Sleep(time.Hour)
+		for name, s := range n.services {
+			must.True(t, s.Member().Fresh(), must.Sprint(name))
+		}
+		n.cut("h0", true)
+		time.Sleep(10 * time.Second)
+		must.False(t, n.services["h0"].Member().Fresh())
+		n.cut("h0", false)
+		n.start(ctx, "h0", "2", "h1", "h2")
+		must.False(t, n.services["h0"].Member().Fresh())
+		time.Sleep(20 * time.Second)
+		must.True(t, n.services["h0"].Member().Fresh())
+	})
+}
+
+// TestVotes guards against majorities for continuation and for takeover at the
+// same time.
+func TestVotes(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context, n *network, links map[string]*store.Link) {
+		s := n.services["h0"]
+		_, ids := s.Roster()
+		must.EqOp(t, 0, s.Contact(ctx))
+		must.EqOp(t, 5, s.Endorse(ctx, ids, 1))
+		for _, name := range []string{"h0", "h1", "h2"} {
+			links[name].SetUnavailable(true)
+		}
+		must.EqOp(t, 0, s.Contact(ctx), must.Sprint("they have just endorsed"))
+		time.Sleep(4 * time.Second)
+		must.EqOp(t, 3, s.Contact(ctx))
+		must.EqOp(t, 2, n.services["h4"].Endorse(ctx, ids, 1))
+		for _, l := range links {
+			l.SetUnavailable(false)
+		}
+		must.EqOp(t, 2, n.services["h4"].Endorse(ctx, ids, 1), must.Sprint("three have just said no"))
+		time.Sleep(4 * time.Second)
+		must.EqOp(t, 5, n.services["h4"].Endorse(ctx, ids, 1))
+	})
+}
