--- a/share/share.go
+++ b/share/share.go
@@ -178,12 +178,12 @@
 	if total < 2*least {
 		return 0, false
 	}
-	fast, clear := excess(total, taker, own.Fast, other.Fast, least, fastSpan)
-	if clear {
+	fast, sure := excess(total, taker, own.Fast, other.Fast, least, fastSpan)
+	if sure {
 		return fast, true
 	}
-	slow, clear := excess(total, taker, own.Slow, other.Slow, least, slowSpan)
-	return math.Min(fast, slow), clear && fast >= total*leastMove
+	slow, sure := excess(total, taker, own.Slow, other.Slow, least, slowSpan)
+	return math.Min(fast, slow), sure && fast >= total*leastMove
 }
 
 // excess returns by how much the taker's part of the demand, measured over a
--- a/wallet/fleet_test.go
+++ b/wallet/fleet_test.go
@@ -26,10 +26,7 @@
 	os.Exit(m.Run())
 }
 
-var (
-	regions  = []model.Region{"north", "south"}
-	customer = &model.Customer{ID: "sugarleaf", Rate: 100, Burst: 100}
-)
+var regions = []model.Region{"north", "south"}
 
 const hostsPerRegion = 4
 
--- a/wallet/wallet.go
+++ b/wallet/wallet.go
@@ -225,7 +225,7 @@
 	if i > 0 {
 		list, timeout = w.regions[1:], remoteTimeout
 	}
-	cause, wait := error(quota.Unreached(nil)), time.Duration(0)
+	cause, wait := quota.Unreached(nil), time.Duration(0)
 	for _, r := range list {
 		if w.avoids(path{r, a.shard}) {
 			continue
--- a/wallet/wallet_test.go
+++ b/wallet/wallet_test.go
@@ -138,7 +138,7 @@
 )
 
 // waste returns the part of requests refused although the customer is within its rate.
-func waste(t *testing.T, c *model.Customer, p traffic, apart bool, make func(*fleet, model.Region, int) policy) (float64, *fleet) {
+func waste(t *testing.T, c *model.Customer, p traffic, apart bool, choose func(*fleet, model.Region, int) policy) (float64, *fleet) {
 	f := simulate(t, 7, c, 25*time.Second, func(f *fleet) {
 		f.apart = false
 		f.settling = func(at time.Duration) bool {
@@ -152,7 +152,7 @@
 		}
 		for r, region := range regions {
 			for i := range hostsPerRegion {
-				f.offer(make(f, region, i), func(at time.Duration) float64 { return p(r, i, at) * float64(c.Rate) })
+				f.offer(choose(f, region, i), func(at time.Duration) float64 { return p(r, i, at) * float64(c.Rate) })
 			}
 		}
 	})
