feed: bring each version of the configuration to all daemons

Change: the cell's two watchers wait for changes of the root, fetch changed chunks and push a notice; the others pull from the sender in batches below 1 MB. A version in a heartbeat that is newer than the own one starts a pull from that peer. A watch keeps its position over cuts and lists the root again after the platform compacted. Read is the root reader of package roster.

Conclusion: usable by the daemon beside roster.Service.

--- /dev/null
+++ b/feed/feed_test.go
@@ -0,0 +1,301 @@
+package feed
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"rhubarbdrift.example/cell"
+	"rhubarbdrift.example/conf"
+	"rhubarbdrift.example/fault"
+	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/roster"
+	"rhubarbdrift.example/store"
+	"rhubarbdrift.example/wire"
+)
+
+var errCut = fault.New(fault.Unavailable, "cut", "retry")
+
+// daemon is one daemon of the test; its address is its name.
+type daemon struct {
+	*Service
+	cells  *roster.Service
+	link   *store.Link
+	cancel context.CancelFunc
+}
+
+// fleet connects daemons in memory.
+type fleet struct {
+	mem     *store.Mem
+	mu      sync.Mutex
+	daemons map[string]*daemon
+	cut     map[string]bool
+	mute    atomic.Bool // lose all notices
+	runs    int
+	group   sync.WaitGroup
+}
+
+func (f *fleet) to(from, address string) (*daemon, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cut[from] || f.cut[address] || f.daemons[address] == nil {
+		return nil, errCut
+	}
+	return f.daemons[address], nil
+}
+
+func (f *fleet) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+type path struct {
+	*fleet
+	from string
+}
+
+func (p path) Send(address string, b cell.Beat) {
+	if d, err := p.to(p.from, address); err == nil {
+		d.cells.Member().Handle(b)
+	}
+}
+
+func (path) Reset(string)    {}
+func (path) Retain([]string) {}
+
+func (p path) Ask(context.Context, string, cell.Question) (cell.Answer, error) {
+	return cell.Answer{}, errCut
+}
+
+func (p path) Roster(_ context.Context, address string) (cell.Roster, error) {
+	d, err := p.to(p.from, address)
+	if err != nil {
+		return cell.Roster{}, err
+	}
+	return d.cells.TakeRoster(), nil
+}
+
+// peers is the same path for the configuration.
+type peers path
+
+func (p peers) Notify(_ context.Context, address string, n Notice) error {
+	d, err := p.to(p.from, address)
+	if err == nil && !p.mute.Load() {
+		d.Offer(n)
+	}
+	return err
+}
+
+func (p peers) Root(_ context.Context, address string) (conf.Root, error) {
+	d, err := p.to(p.from, address)
+	if err != nil {
+		return conf.Root{}, err
+	}
+	return d.Current()
+}
+
+func (p peers) Pull(_ context.Context, address string, q Pull) (Chunks, error) {
+	d, err := p.to(p.from, address)
+	if err != nil {
+		return Chunks{}, err
+	}
+	return d.Give(q)
+}
+
+func newFleet() *fleet {
+	return &fleet{mem: store.NewMem(), daemons: make(map[string]*daemon), cut: make(map[string]bool)}
+}
+
+// start runs a daemon in place of an earlier one of the name.
+func (f *fleet) start(ctx context.Context, name string, seeds ...string) *daemon {
+	f.runs++
+	d := &daemon{link: f.mem.Link()}
+	m := cell.NewMember(cell.Host{ID: model.HostID(name), Address: name}, "c", model.Incarnation(fmt.Sprint(f.runs)))
+	d.Service = New(conf.NewHolder(), m, d.link, peers{f, name})
+	d.cells = roster.NewService(m, d.link, path{f, name}, roster.WithReader(d.Read), roster.WithSeeds(seeds))
+	ctx, d.cancel = context.WithCancel(ctx)
+	f.set(func() { f.daemons[name] = d })
+	f.group.Go(func() { _ = d.cells.Run(ctx) })
+	f.group.Go(func() { _ = d.Run(ctx) })
+	return d
+}
+
+func commit(t *testing.T, s store.Store, version model.ConfigVersion) {
+	t.Helper()
+	in := &model.Intent{}
+	for i := range 5 + int(version) {
+		in.Customers = append(in.Customers, model.Customer{ID: model.CustomerID(fmt.Sprint(i)), Rate: 1, Burst: 1})
+	}
+	_, at, err := conf.ReadRoot(t.Context(), s)
+	must.True(t, err == nil || fault.Is(err, fault.Missing))
+	audit := fmt.Append(nil, version)
+	root, chunks, err := conf.Build(in, version, model.DigestOf(audit), fmt.Sprint(version))
+	must.NoError(t, err)
+	_, err = conf.Commit(t.Context(), s, at, root, chunks, audit)
+	must.NoError(t, err)
+}
+
+// run starts a cell of five and calls f after all of them are fresh with version 1.
+func run(t *testing.T, f func(t *testing.T, ctx context.Context, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		all := newFleet()
+		commit(t, all.mem, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		for i := range 5 {
+			all.start(ctx, fmt.Sprint("h", i))
+		}
+		time.Sleep(90 * time.Second)
+		all.expect(t, 1)
+		f(t, ctx, all)
+		cancel()
+		all.group.Wait()
+	})
+}
+
+func (f *fleet) expect(t *testing.T, v model.ConfigVersion) {
+	t.Helper()
+	for name, d := range f.daemons {
+		must.EqOp(t, v, d.version(), must.Sprint(name))
+		must.True(t, d.member.Fresh(), must.Sprint(name))
+	}
+}
+
+// TestSpread guards against a version that does not reach all daemons at once
+// by notices, or within two periods when all notices are lost.
+func TestSpread(t *testing.T) {
+	run(t, func(t *testing.T, _ context.Context, f *fleet) {
+		commit(t, f.mem, 2)
+		time.Sleep(100 * time.Millisecond)
+		f.expect(t, 2)
+		f.mute.Store(true)
+		commit(t, f.mem, 3)
+		time.Sleep(2*cell.Period + 100*time.Millisecond)
+		f.expect(t, 3)
+		time.Sleep(cell.FreshFor + cell.Period)
+		must.True(t, f.daemons["h0"].member.Accepted(3))
+		must.False(t, f.daemons["h0"].member.Accepted(4))
+	})
+}
+
+// TestCutOff guards against a daemon that serves with an old version more than
+// FreshFor after the others hold a newer one, and that does not catch up.
+func TestCutOff(t *testing.T) {
+	run(t, func(t *testing.T, _ context.Context, f *fleet) {
+		old := f.daemons["h0"]
+		f.set(func() { f.cut["h0"] = true })
+		old.link.SetUnavailable(true)
+		commit(t, f.mem, 2)
+		time.Sleep(cell.FreshFor)
+		must.False(t, old.member.Fresh())
+		must.EqOp(t, 1, old.version())
+		f.set(func() { f.cut["h0"] = false })
+		time.Sleep(4 * cell.Period) // hear the version, pull it, report it, be vouched for
+		f.expect(t, 2)
+	})
+}
+
+// TestOutage guards against a version that reverts, or a daemon that serves an
+// old one, when daemons restart one after the other without the platform.
+func TestOutage(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context, f *fleet) {
+		commit(t, f.mem, 2)
+		time.Sleep(time.Second)
+		f.mem.SetUnavailable(true)
+		for i := range 5 {
+			name := fmt.Sprint("h", i)
+			f.daemons[name].link.SetUnavailable(true)
+			f.daemons[name].cancel()
+			d := f.start(ctx, name, "h0", "h1", "h2", "h3", "h4")
+			must.False(t, d.member.Fresh())
+			time.Sleep(30 * time.Second)
+			f.expect(t, 2)
+		}
+		for name, d := range f.daemons {
+			d.cancel()
+			f.set(func() { f.cut[name] = name != "h0" })
+		}
+		lone := f.start(ctx, "h0", "h1")
+		time.Sleep(time.Minute)
+		must.False(t, lone.member.Fresh(), must.Sprint("nobody is left to ask"))
+		must.EqOp(t, 0, lone.version())
+	})
+}
+
+// TestWatch guards against a watch that misses changes after it was cut or
+// after the platform dropped old changes. Nothing else reads the root here.
+func TestWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		d := &daemon{link: f.mem.Link()}
+		m := cell.NewMember(cell.Host{ID: "h0", Address: "h0"}, "c", "1")
+		m.Adopt(cell.Roster{Version: 1, Hosts: []cell.Host{m.Self()}}, true)
+		d.Service = New(conf.NewHolder(), m, d.link, peers{f, "h0"})
+		ctx, cancel := context.WithCancel(t.Context())
+		f.group.Go(func() { _ = d.Run(ctx) })
+		for v := model.ConfigVersion(1); v < 9; v += 2 {
+			commit(t, f.mem, v)
+			time.Sleep(time.Second)
+			must.EqOp(t, v, d.version())
+			d.link.SetUnavailable(true)
+			time.Sleep(time.Second)
+			commit(t, f.mem, v+1)
+			if v > 2 {
+				f.mem.Compact()
+			}
+			time.Sleep(time.Minute)
+			d.link.SetUnavailable(false)
+			time.Sleep(time.Second)
+			must.EqOp(t, v+1, d.version())
+		}
+		cancel()
+		f.group.Wait()
+	})
+}
+
+// TestLink guards against answers above the size of a message, and against
+// methods that do not work over the network, with 26,000 customers.
+func TestLink(t *testing.T) {
+	in := &model.Intent{}
+	for i := range 26_000 {
+		id := fmt.Sprintf("customer-%05d", i)
+		in.Customers = append(in.Customers, model.Customer{ID: model.CustomerID(id), Rate: 1, Burst: 1,
+			Keys: []model.Key{{ID: "a", Digest: model.DigestOf([]byte(id))}, {ID: "b", Digest: model.DigestOf([]byte(id + "b"))}}})
+	}
+	root, chunks, err := conf.Build(in, 1, model.DigestOf(nil), "one")
+	must.NoError(t, err)
+	full, err := conf.Assemble(root, func(d model.Digest) ([]byte, error) { return chunks[d], nil })
+	must.NoError(t, err)
+	source := New(conf.NewHolder(), cell.NewMember(cell.Host{ID: "a"}, "c", "1"), store.NewMem(), NewLink(nil))
+	source.holder.Install(full)
+
+	counters := wire.NewCounters()
+	server := wire.NewServer(wire.WithCounters(counters))
+	Register(server, source)
+	l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ctx, l) }()
+	pool := wire.NewPool()
+	link := NewLink(pool)
+	got, err := link.Root(t.Context(), l.Addr().String())
+	must.NoError(t, err)
+	sink := New(conf.NewHolder(), cell.NewMember(cell.Host{ID: "b"}, "c", "1"), store.NewMem(), link)
+	must.NoError(t, sink.install(t.Context(), Notice{Root: got, Address: l.Addr().String()}))
+	must.Eq(t, in, &model.Intent{Customers: sink.holder.Current().Intent().Customers})
+	must.NoError(t, link.Notify(t.Context(), l.Addr().String(), Notice{Root: root, Address: "x"}))
+	c := counters.Methods()["conf.pull"]
+	must.Less(t, store.MaxValue, c.BytesSent/c.MessagesSent)
+	pool.Close()
+	cancel()
+	must.NoError(t, <-done)
+}
