daemon: connect cells, leases, grants, claims and the feed of versions

Cause: each daemon owned all shards for itself and read the configuration on its own, so limits did not hold over the fleet. A claim of a request with an unknown outcome is left open explicitly. Ejection is not connected yet.

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -8,15 +8,24 @@
 	"rhubarbdrift.example/exch"
 	"rhubarbdrift.example/gate"
 	"rhubarbdrift.example/kern"
+	"rhubarbdrift.example/model"
 	"rhubarbdrift.example/pick"
 	"rhubarbdrift.example/plan"
 	"rhubarbdrift.example/store"
+	"rhubarbdrift.example/wire"
 )
 
 // The names under which the services are registered.
 const (
 	nameStore    = "store"
-	nameFollow   = "follow"
+	nameHosts    = "hosts"
+	nameWire     = "wire"
+	namePeers    = "peers"
+	nameCell     = "cell"
+	nameFeed     = "feed"
+	nameLease    = "lease"
+	nameHandover = "handover"
+	nameClaims   = "claims"
 	nameExchange = "exchange"
 	namePicker   = "picker"
 	nameLimits   = "limits"
@@ -27,8 +36,12 @@
 
 // state is what several services of the daemon share.
 type state struct {
-	holder   *conf.Holder
-	stopping atomic.Bool
+	holder    *conf.Holder
+	directory *directory
+	peers     *wire.Pool
+	counters  *wire.Counters
+	cell      *cellView
+	stopping  atomic.Bool
 }
 
 // build registers all services in the order in which they depend on each other.
@@ -36,8 +49,12 @@
 	d.state.holder = conf.NewHolder()
 	steps := []func() error{
 		d.buildStore,
+		d.buildWire,
+		d.buildCell,
+		d.buildLease,
 		d.buildPicker,
 		d.buildLimits,
+		d.buildClaims,
 		d.buildGate,
 		d.buildAdmin,
 	}
@@ -54,7 +71,28 @@
 	if err := kern.Provide[store.Store](d.kernel, nameStore, client); err != nil {
 		return err
 	}
-	return kern.Provide(d.kernel, nameFollow, &follow{store: client, holder: d.state.holder, log: d.log})
+	d.state.directory = newDirectory(client, d.log)
+	return kern.Provide(d.kernel, nameHosts, d.state.directory)
+}
+
+func (d *Daemon) buildWire() error {
+	d.state.counters = wire.NewCounters()
+	d.state.peers = wire.NewPool(wire.WithCounters(d.state.counters))
+	server := wire.NewServer(wire.WithCounters(d.state.counters))
+	if err := kern.Provide(d.kernel, nameWire, server); err != nil {
+		return err
+	}
+	return kern.Provide(d.kernel, namePeers, &peerListener{address: d.settings.Listen.Peers, server: server, log: d.log})
+}
+
+// poolsOf returns the pools of a snapshot.
+func poolsOf(s *conf.Snapshot) []*model.Pool {
+	in := s.Intent()
+	list := make([]*model.Pool, len(in.Pools))
+	for i := range in.Pools {
+		list[i] = &in.Pools[i]
+	}
+	return list
 }
 
 func (d *Daemon) buildPicker() error {
@@ -84,11 +122,15 @@
 	if err != nil {
 		return err
 	}
+	claims, err := kern.Find[*claims](d.kernel, nameClaims)
+	if err != nil {
+		return err
+	}
 	g := gate.New(gate.Parts{
 		Snapshot: d.snapshot,
 		Fresh:    d.fresh,
 		Limiter:  limits,
-		Claims:   noClaims{},
+		Claims:   claims,
 		Queues:   noQueues{},
 		Picker:   picker,
 		Exchange: exchange,
--- /dev/null
+++ b/daemon/cell.go
@@ -0,0 +1,115 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"rhubarbdrift.example/cell"
+	"rhubarbdrift.example/feed"
+	"rhubarbdrift.example/kern"
+	"rhubarbdrift.example/lease"
+	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/roster"
+	"rhubarbdrift.example/store"
+	"rhubarbdrift.example/wire"
+)
+
+// releaseTimeout bounds the release of the leases, which lapse otherwise.
+const releaseTimeout = 5 * time.Second
+
+// cellView gives other services what they need to know of the cell.
+type cellView struct {
+	member    *cell.Member
+	service   *roster.Service
+	directory *directory
+}
+
+// Address returns the peer address of a member.
+func (v *cellView) Address(id model.HostID) (string, bool) {
+	r := v.member.Held()
+	for _, h := range r.Hosts {
+		if h.ID == id {
+			return h.Address, true
+		}
+	}
+	return "", false
+}
+
+// Live returns the live members of the cell, this one included, without those
+// that are leaving.
+func (v *cellView) Live() []model.HostID {
+	list := []model.HostID{v.member.Self().ID}
+	for _, p := range v.member.Peers() {
+		if p.Live && !v.directory.Leaving(p.ID) {
+			list = append(list, p.ID)
+		}
+	}
+	return list
+}
+
+// Roster returns the roster for the votes on leases.
+func (v *cellView) Roster() (uint64, []model.HostID) { return v.service.Roster() }
+
+// CutOff returns how many of the members have no contact to the platform.
+func (v *cellView) CutOff(ctx context.Context, members []model.HostID) int {
+	return v.service.Contact(ctx, members)
+}
+
+// Endorse returns how many of the members agree to a takeover.
+func (v *cellView) Endorse(ctx context.Context, members []model.HostID, shard model.Shard) int {
+	return v.service.Endorse(ctx, members, shard)
+}
+
+func (d *Daemon) buildCell() error {
+	platform, err := kern.Find[store.Store](d.kernel, nameStore)
+	if err != nil {
+		return err
+	}
+	server, err := kern.Find[*wire.Server](d.kernel, nameWire)
+	if err != nil {
+		return err
+	}
+	s := d.settings
+	m := cell.NewMember(cell.Host{ID: s.Host, Address: s.Listen.Peers}, s.Cell, d.incarnation)
+	link := roster.NewLink(d.state.peers)
+	f := feed.New(d.state.holder, m, platform, feed.NewLink(d.state.peers), feed.WithLogger(d.log))
+	feed.Register(server, f)
+	service := roster.NewService(m, platform, link, roster.WithSeeds(s.Peers),
+		roster.WithReader(f.Read), roster.WithLogger(d.log))
+	roster.Register(server, service)
+	d.state.cell = &cellView{member: m, service: service, directory: d.state.directory}
+	if err := kern.Provide(d.kernel, nameFeed, f); err != nil {
+		return err
+	}
+	return kern.Provide(d.kernel, nameCell, service)
+}
+
+func (d *Daemon) buildLease() error {
+	platform, err := kern.Find[store.Store](d.kernel, nameStore)
+	if err != nil {
+		return err
+	}
+	s := d.settings
+	k := lease.New(
+		lease.WithStore(platform),
+		lease.WithSelf(s.Host, d.incarnation),
+		lease.WithRegion(s.Region, s.Shards),
+		lease.WithCell(s.Cell, d.state.cell),
+		lease.WithMembers(d.state.cell.Live),
+		lease.WithLogger(d.log))
+	if err := kern.Provide(d.kernel, nameLease, k); err != nil {
+		return err
+	}
+	return kern.Provide(d.kernel, nameHandover, handover{k})
+}
+
+// handover gives up all leases in a planned stop, so that other daemons need
+// not wait for them to lapse.
+type handover struct{ keeper *lease.Keeper }
+
+// Stop releases the leases.
+func (h handover) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	return h.keeper.Release(ctx)
+}
--- /dev/null
+++ b/daemon/direct.go
@@ -0,0 +1,109 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/store"
+)
+
+const (
+	// hostsInterval is the time between two readings of the host list. With a
+	// fleet of 580 daemons it costs the platform 58 reads/s.
+	hostsInterval = 10 * time.Second
+	// hostsRetry is the time to the next reading after a failed one.
+	hostsRetry = time.Second
+)
+
+// directory knows the regions and addresses of the fleet's daemons from the
+// platform's lagging host list. It keeps the last list during an outage.
+type directory struct {
+	store store.Store
+	log   zerolog.Logger
+
+	mu      sync.RWMutex
+	hosts   map[model.HostID]store.Host
+	regions map[model.Region][]model.HostID
+}
+
+func newDirectory(s store.Store, log zerolog.Logger) *directory {
+	return &directory{store: s, log: log}
+}
+
+// Run reads the host list until ctx ends.
+func (d *directory) Run(ctx context.Context) error {
+	for {
+		pause := hostsInterval
+		if err := d.read(ctx); err != nil {
+			d.log.Debug().Err(err).Msg("host list not read")
+			pause = hostsRetry
+		}
+		// The jitter keeps daemons that started together apart.
+		pause = pause/2 + rand.N(pause)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (d *directory) read(ctx context.Context) error {
+	list, err := d.store.Hosts(ctx)
+	if err != nil {
+		return err
+	}
+	hosts := make(map[model.HostID]store.Host, len(list))
+	regions := make(map[model.Region][]model.HostID)
+	for _, h := range list {
+		hosts[h.ID] = h
+		if !h.Leaving {
+			regions[h.Region] = append(regions[h.Region], h.ID)
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.hosts, d.regions = hosts, regions
+	return nil
+}
+
+// Address returns the peer address of a host.
+func (d *directory) Address(id model.HostID) (string, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	h, ok := d.hosts[id]
+	return h.Address, ok && h.Address != ""
+}
+
+// Leaving reports whether the host list shows the host as leaving.
+func (d *directory) Leaving(id model.HostID) bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.hosts[id].Leaving
+}
+
+// Best returns the host of the region with the lowest rank for the item.
+func (d *directory) Best(r model.Region, item string) (model.HostID, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	var best model.HostID
+	var lowest uint64
+	for _, id := range d.regions[r] {
+		if rank := model.Rank(id, item); best == "" || rank < lowest {
+			best, lowest = id, rank
+		}
+	}
+	return best, best != ""
+}
+
+// Count returns the number of hosts of the fleet, at least 1.
+func (d *directory) Count() int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return max(1, len(d.hosts))
+}
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -2,22 +2,55 @@
 
 import (
 	"context"
+	"sync"
 
 	"golang.org/x/sync/errgroup"
 
 	"rhubarbdrift.example/fault"
 	"rhubarbdrift.example/gate"
 	"rhubarbdrift.example/kern"
+	"rhubarbdrift.example/lease"
 	"rhubarbdrift.example/model"
 	"rhubarbdrift.example/quota"
+	"rhubarbdrift.example/share"
 	"rhubarbdrift.example/store"
 	"rhubarbdrift.example/wallet"
+	"rhubarbdrift.example/wire"
 )
 
-// limits admits requests with the tokens of a wallet.
+const (
+	methodTake = "quota.take"
+	methodWish = "quota.wish"
+	// maxHops bounds how often a call follows the hint of a daemon that does not
+	// own the shard.
+	maxHops = 3
+)
+
+// limits admits requests with the tokens of a wallet and answers for the
+// shards that this daemon owns.
 type limits struct {
+	self   model.HostID
+	region model.Region
 	wallet *wallet.Wallet
 	owner  *quota.Owner
+	keeper *lease.Keeper
+	find   *directory
+	member addressBook
+	peers  *wire.Pool
+
+	mu     sync.Mutex
+	remote map[place]model.HostID // last known owners in other regions
+}
+
+// place is a shard in a region.
+type place struct {
+	region model.Region
+	shard  model.Shard
+}
+
+// addressBook gives the peer addresses of the cell's members.
+type addressBook interface {
+	Address(id model.HostID) (string, bool)
 }
 
 // Admit takes a token for one request of the customer.
@@ -40,33 +73,143 @@
 // Stop returns unused tokens.
 func (l *limits) Stop(ctx context.Context) error { return l.wallet.Return(ctx) }
 
-// Ask passes an ask to the local owner.
-func (l *limits) Ask(ctx context.Context, _ model.Region, _ model.Shard, t quota.Take) (quota.Grant, error) {
-	return l.owner.Take(ctx, t)
+// Ask passes an ask to the owner of the shard in the region.
+func (l *limits) Ask(ctx context.Context, r model.Region, s model.Shard, t quota.Take) (quota.Grant, error) {
+	var grant quota.Grant
+	err := l.follow(place{r, s}, func(host model.HostID, address string) error {
+		if host == l.self {
+			var err error
+			grant, err = l.owner.Take(ctx, t)
+			return err
+		}
+		a, err := wire.Call[quota.Take, quota.Answer](ctx, l.peers.Client(address), methodTake, &t)
+		if err != nil {
+			return quota.Unreached(err)
+		}
+		grant, err = a.Result()
+		return err
+	})
+	return grant, err
 }
 
-// Wish does nothing while there is one owner.
-func (l *limits) Wish(context.Context, model.Region, quota.Wish) error { return nil }
+// Wish passes a wish to the owner of its shard in another region.
+func (l *limits) Wish(ctx context.Context, to model.Region, w share.Wish) error {
+	return l.follow(place{to, w.Shard}, func(_ model.HostID, address string) error {
+		a, err := wire.Call[share.Wish, quota.Answer](ctx, l.peers.Client(address), methodWish, &w)
+		if err != nil {
+			return err
+		}
+		_, err = a.Result()
+		return err
+	})
+}
 
-// allShards is the table of a daemon that owns all shards.
-type allShards struct{ host model.HostID }
+// follow calls the owner of a shard, and again the host that a daemon names
+// which is not the owner.
+func (l *limits) follow(p place, call func(model.HostID, string) error) error {
+	host, ok := l.ownerOf(p)
+	var err error
+	for range maxHops {
+		if !ok {
+			return quota.Unreached(fault.New(fault.Missing, "no host of region "+string(p.region)+" is known", "check the platform's host list"))
+		}
+		address, known := l.address(host)
+		if !known {
+			return quota.Unreached(fault.New(fault.Missing, "the address of host "+string(host)+" is not known", "check the platform's host list"))
+		}
+		err = call(host, address)
+		hint := quota.OwnerOf(err)
+		if !fault.Is(err, quota.NotOwner) || hint == "" || hint == host {
+			break
+		}
+		l.learn(p, hint)
+		host = hint
+	}
+	if err != nil && !fault.Is(err, fault.Limited) {
+		l.forget(p)
+	}
+	return err
+}
 
-// Holds reports true.
-func (allShards) Holds(model.Shard) bool { return true }
+func (l *limits) address(host model.HostID) (string, bool) {
+	if host == l.self {
+		return "", true
+	}
+	if a, ok := l.member.Address(host); ok {
+		return a, true
+	}
+	return l.find.Address(host)
+}
 
-// Owner returns this daemon.
-func (a allShards) Owner(model.Shard) (model.HostID, bool) { return a.host, true }
+func (l *limits) ownerOf(p place) (model.HostID, bool) {
+	if p.region == l.region {
+		return l.keeper.Owner(p.shard)
+	}
+	l.mu.Lock()
+	host, ok := l.remote[p]
+	l.mu.Unlock()
+	if ok {
+		return host, true
+	}
+	return l.find.Best(p.region, p.shard.String())
+}
+
+func (l *limits) learn(p place, host model.HostID) {
+	if p.region == l.region {
+		l.keeper.Learn(p.shard, host)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.remote[p] = host
+}
+
+func (l *limits) forget(p place) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.remote, p)
+}
+
+// take answers another daemon's ask.
+func (l *limits) take(ctx context.Context, t *quota.Take) (*quota.Answer, error) {
+	a := quota.AnswerOf(l.owner.Take(ctx, *t))
+	return &a, nil
+}
+
+// wish answers another region's wish.
+func (l *limits) wish(_ context.Context, w *share.Wish) (*quota.Answer, error) {
+	if l.keeper.Holds(w.Shard) {
+		l.owner.Handle(*w)
+		return new(quota.Answer), nil
+	}
+	a := quota.Answer{Kind: quota.NotOwner}
+	a.Owner, _ = l.keeper.Owner(w.Shard)
+	return &a, nil
+}
 
 func (d *Daemon) buildLimits() error {
 	platform, err := kern.Find[store.Store](d.kernel, nameStore)
 	if err != nil {
 		return err
 	}
+	keeper, err := kern.Find[*lease.Keeper](d.kernel, nameLease)
+	if err != nil {
+		return err
+	}
+	server, err := kern.Find[*wire.Server](d.kernel, nameWire)
+	if err != nil {
+		return err
+	}
 	s := d.settings
-	l := new(limits)
-	l.owner = quota.NewOwner(s.Region, s.Regions, allShards{s.Host}, d.customer, platform, l, quota.WithOwnerShards(s.Shards))
+	l := &limits{
+		self: s.Host, region: s.Region, keeper: keeper, peers: d.state.peers,
+		find: d.state.directory, member: d.state.cell, remote: make(map[place]model.HostID),
+	}
+	l.owner = quota.NewOwner(s.Region, s.Regions, keeper, d.customer, platform, l, quota.WithOwnerShards(s.Shards))
 	origin := quota.Origin{Host: s.Host, Incarnation: d.incarnation, Region: s.Region}
 	l.wallet = wallet.New(origin, s.Regions, l, wallet.WithShards(s.Shards))
+	wire.Handle(server, methodTake, l.take)
+	wire.Handle(server, methodWish, l.wish)
 	return kern.Provide(d.kernel, nameLimits, l)
 }
 
@@ -77,11 +220,3 @@
 	}
 	return snapshot.Customer(id)
 }
-
-// noClaims refuses all requests that may not be repeated.
-type noClaims struct{}
-
-// Begin refuses.
-func (noClaims) Begin(context.Context, model.CustomerID, string, model.Digest) (gate.Claim, error) {
-	return nil, fault.New(fault.Unknown, "claims are not connected", "connect them")
-}
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rhubarbdrift.example/fault"
+	"rhubarbdrift.example/wire"
 )
 
 // listener serves HTTP on one address.
@@ -21,10 +22,9 @@
 
 // Run serves until ctx ends or the server is stopped.
 func (l *listener) Run(ctx context.Context) error {
-	var lc net.ListenConfig
-	ln, err := lc.Listen(ctx, "tcp", l.address)
+	ln, err := listen(ctx, l.address)
 	if err != nil {
-		return fault.Wrap(fault.Unavailable, err, "cannot listen on "+l.address, "use a free port of this host in the settings")
+		return err
 	}
 	l.log.Info().Str("service", l.name).Str("address", l.address).Msg("listening")
 	failed := make(chan error, 1)
@@ -52,3 +52,29 @@
 	}
 	return l.wait(ctx)
 }
+
+// peerListener serves the other daemons.
+type peerListener struct {
+	address string
+	server  *wire.Server
+	log     zerolog.Logger
+}
+
+// Run serves until ctx ends.
+func (l *peerListener) Run(ctx context.Context) error {
+	ln, err := listen(ctx, l.address)
+	if err != nil {
+		return err
+	}
+	l.log.Info().Str("service", namePeers).Str("address", l.address).Msg("listening")
+	return l.server.Serve(ctx, ln)
+}
+
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	var lc net.ListenConfig
+	ln, err := lc.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, fault.Wrap(fault.Unavailable, err, "cannot listen on "+address, "use a free port of this host in the settings")
+	}
+	return ln, nil
+}
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -1,29 +1,90 @@
 package daemon
 
 import (
+	"time"
+
 	"rhubarbdrift.example/admin"
+	"rhubarbdrift.example/kern"
+	"rhubarbdrift.example/lease"
 	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/pick"
 )
 
 // fresh reports whether keyed routes may be served.
-func (d *Daemon) fresh() bool { return d.snapshot() != nil }
+func (d *Daemon) fresh() bool { return d.snapshot() != nil && d.state.cell.member.Fresh() }
 
 // Status returns what the daemon knows about itself and its fleet.
 func (d *Daemon) Status() admin.Status {
+	fresh := d.fresh()
 	s := admin.Status{
 		Host:   d.settings.Host,
 		Region: d.settings.Region,
 		Domain: d.settings.Domain,
 		Cell:   d.settings.Cell,
-		Fresh:  d.fresh(),
-		Ready:  d.fresh() && !d.state.stopping.Load(),
+		Fresh:  fresh,
+		Ready:  fresh && !d.state.stopping.Load(),
 	}
 	if c := d.snapshot(); c != nil {
 		s.Version = c.Version()
+		s.Accepted = d.state.cell.member.Accepted(c.Version())
+	}
+	if k, err := kern.Find[*lease.Keeper](d.kernel, nameLease); err == nil {
+		s.Shards = k.Held()
 	}
+	s.Daemons = d.daemons()
+	s.Targets = d.targets()
+	s.Customers = d.customers()
 	return s
 }
 
+func (d *Daemon) daemons() []admin.DaemonStatus {
+	var list []admin.DaemonStatus
+	for _, p := range d.state.cell.member.Peers() {
+		list = append(list, admin.DaemonStatus{
+			Host: p.ID, Version: p.Version, Live: p.Live,
+			Seen: model.Millis(time.Since(p.Heard).Milliseconds()),
+		})
+	}
+	return list
+}
+
+func (d *Daemon) targets() []admin.TargetStatus {
+	p, err := kern.Find[*pick.Picker](d.kernel, namePicker)
+	if err != nil {
+		return nil
+	}
+	var list []admin.TargetStatus
+	for _, pool := range d.Intent().Pools {
+		for _, t := range p.Status(pool.ID) {
+			list = append(list, admin.TargetStatus{
+				Pool: pool.ID, Target: t.Target, Running: t.Flight, Verdict: verdictOf(t),
+			})
+		}
+	}
+	return list
+}
+
+func verdictOf(t pick.Status) string {
+	switch {
+	case t.Draining:
+		return "draining"
+	case t.Ejected:
+		return "ejected"
+	case t.Weight < 1:
+		return "returning"
+	default:
+		return "healthy"
+	}
+}
+
+func (d *Daemon) customers() []admin.CustomerStatus {
+	var list []admin.CustomerStatus
+	for _, c := range d.Intent().Customers {
+		list = append(list, admin.CustomerStatus{Customer: c.ID, Rate: c.Rate, Burst: c.Burst})
+	}
+	return list
+}
+
 // Intent returns the configuration in force.
 func (d *Daemon) Intent() *model.Intent {
 	if s := d.snapshot(); s != nil {
--- a/gate/call.go
+++ b/gate/call.go
@@ -206,7 +206,7 @@
 		c.claim = claim
 		return nil
 	}
-	if fault.Is(err, fault.Unavailable) && c.route.Outage == model.OutageForward {
+	if fault.Is(err, fault.Kind(KindUnclaimed)) && c.route.Outage == model.OutageForward {
 		return nil
 	}
 	return claimRefusal(err)
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -49,7 +49,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.broken {
-		return nil, fault.New(fault.Unavailable, "gone", "wait")
+		return nil, fault.New(fault.Kind(KindUnclaimed), "gone", "wait")
 	}
 	if state := f.states[key]; state != "" {
 		return nil, fault.New(fault.Kind(state), state, "none")
@@ -84,6 +84,7 @@
 
 func (c *fakeClaim) Done(context.Context, int) error { return c.set("done") }
 func (c *fakeClaim) Release(context.Context) error   { return c.set("") }
+func (c *fakeClaim) Abandon(context.Context) error   { return nil }
 
 type freeToken struct{}
 
--- a/gate/parts.go
+++ b/gate/parts.go
@@ -32,9 +32,13 @@
 	Done(ctx context.Context, status int) error
 	// Release gives up the claim of a request that was certainly not run.
 	Release(ctx context.Context) error
+	// Abandon leaves the claim open, since the request may have been run.
+	Abandon(ctx context.Context) error
 }
 
-// Claims records requests that may not be repeated before they are sent.
+// Claims records requests that may not be repeated before they are sent. The
+// errors of Begin have the kinds unclaimed, open, done and mismatch; the
+// request was not run.
 type Claims interface {
 	Begin(ctx context.Context, id model.CustomerID, key string, fingerprint model.Digest) (Claim, error)
 }
--- a/gate/run.go
+++ b/gate/run.go
@@ -162,12 +162,26 @@
 	case exch.NotRun:
 		return c.giveUp(refusal(KindTarget, NotRun, "no target could be reached", "retry later").after(limitRetry))
 	case exch.Silent:
+		c.abandon()
 		return refusal(KindLate, Unknown, "the target did not answer in time", c.unknownRemedy())
 	default:
+		c.abandon()
 		return refusal(KindTarget, Unknown, "the target's answer was lost", c.unknownRemedy())
 	}
 }
 
+// abandon leaves the claim open, so that a repeat is not run either.
+func (c *call) abandon() {
+	if c.claim == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), claimWait)
+	defer cancel()
+	if err := c.claim.Abandon(ctx); err != nil {
+		c.gate.log.Warn().Err(err).Str("route", string(c.route.ID)).Msg("claim not closed")
+	}
+}
+
 func (c *call) unknownRemedy() string {
 	if c.repeatable() {
 		return "retry"
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -111,7 +111,7 @@
 	// Endorse asks the members whether the shard may be taken over and returns
 	// how many agree: those that have contact, did not say otherwise for two
 	// periods and will not say otherwise for two periods.
-	Endorse(ctx context.Context, members []model.HostID, shard string) int
+	Endorse(ctx context.Context, members []model.HostID, shard model.Shard) int
 }
 
 // Keeper acquires, renews and gives up the leases of one daemon.
--- a/lease/world_test.go
+++ b/lease/world_test.go
@@ -240,7 +240,7 @@
 }
 
 // Endorse implements Voter.
-func (n *node) Endorse(_ context.Context, members []model.HostID, _ string) int {
+func (n *node) Endorse(_ context.Context, members []model.HostID, _ model.Shard) int {
 	n.awake()
 	if n.w.policy == ignoresVotes {
 		return len(members)
--- a/roster/doc.go
+++ b/roster/doc.go
@@ -22,6 +22,6 @@
 // The votes:
 //
 //	_, members := s.Roster()
-//	if s.Contact(ctx) > len(members)/2 { ... } // continue for one period
+//	if s.Contact(ctx, members) > len(members)/2 { ... } // continue for one period
 //	if s.Endorse(ctx, members, shard) > len(members)/2 { ... } // take over within one period
 package roster
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -110,12 +110,11 @@
 	return uint64(r.Version), ids
 }
 
-// Contact asks all members of the roster and returns how many state that they
-// have no contact to the platform, counting this one. A holder may continue
-// for one period from the start of the call if that is more than half.
-func (s *Service) Contact(ctx context.Context) int {
-	_, ids := s.Roster()
-	return s.poll(ctx, ids, cell.Question{Ask: cell.AskContact})
+// Contact asks the given members and returns how many state that they have no
+// contact to the platform, counting this one if it is among them. A holder may
+// continue for one period from the start of the call if that is more than half.
+func (s *Service) Contact(ctx context.Context, members []model.HostID) int {
+	return s.poll(ctx, members, cell.Question{Ask: cell.AskContact})
 }
 
 // Endorse asks the given members and returns how many state that they have
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -179,14 +179,14 @@
 	run(t, func(t *testing.T, ctx context.Context, n *network, links map[string]*store.Link) {
 		s := n.services["h0"]
 		_, ids := s.Roster()
-		must.EqOp(t, 0, s.Contact(ctx))
+		must.EqOp(t, 0, s.Contact(ctx, ids))
 		must.EqOp(t, 5, s.Endorse(ctx, ids, 1))
 		for _, name := range []string{"h0", "h1", "h2"} {
 			links[name].SetUnavailable(true)
 		}
-		must.EqOp(t, 0, s.Contact(ctx), must.Sprint("they have just endorsed"))
+		must.EqOp(t, 0, s.Contact(ctx, ids), must.Sprint("they have just endorsed"))
 		time.Sleep(4 * time.Second)
-		must.EqOp(t, 3, s.Contact(ctx))
+		must.EqOp(t, 3, s.Contact(ctx, ids))
 		must.EqOp(t, 2, n.services["h4"].Endorse(ctx, ids, 1))
 		for _, l := range links {
 			l.SetUnavailable(false)
