--- a/admin/admin.go
+++ b/admin/admin.go
@@ -36,7 +36,8 @@
 
 // Source gives the state of the daemon.
 type Source interface {
-	Status() Status
+	Status(ctx context.Context) Status
+	Ready() bool
 	Intent() *model.Intent
 }
 
@@ -115,7 +116,7 @@
 	case "/live":
 		ctx.SetBodyString("live\n")
 	case "/ready":
-		if !a.source.Status().Ready {
+		if !a.source.Ready() {
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 			ctx.SetBodyString("not ready\n")
 			return true
@@ -156,7 +157,7 @@
 	case method == "GET" && path == "/config":
 		return a.source.Intent(), nil
 	case method == "GET" && path == "/status":
-		return a.source.Status(), nil
+		return a.source.Status(c), nil
 	case method == "GET" && path == "/audit":
 		return a.planner.Audit(c, limitOf(ctx))
 	default:
--- a/admin/status.go
+++ b/admin/status.go
@@ -14,11 +14,23 @@
 	Ready     bool                `json:"ready"`
 	Platform  bool                `json:"platform"` // reached in the last period
 	Shards    []model.Shard       `json:"shards,omitempty"`
+	Cells     []CellStatus        `json:"cells,omitempty"`
 	Daemons   []DaemonStatus      `json:"daemons,omitempty"`
 	Targets   []TargetStatus      `json:"targets,omitempty"`
 	Customers []CustomerStatus    `json:"customers,omitempty"`
 }
 
+// CellStatus is the configuration in force in one cell of the fleet. A change
+// is accepted in the fleet once it is accepted in every cell.
+type CellStatus struct {
+	Cell     model.CellName      `json:"cell"`
+	Reached  bool                `json:"reached"` // a member answered
+	Hosts    int                 `json:"hosts"`
+	Live     int                 `json:"live"`
+	Version  model.ConfigVersion `json:"version"`
+	Accepted model.ConfigVersion `json:"accepted"`
+}
+
 // DaemonStatus is the last known state of a member of the cell.
 type DaemonStatus struct {
 	Host    model.HostID        `json:"host"`
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -36,6 +36,7 @@
 
 // state is what several services of the daemon share.
 type state struct {
+	store     store.Store
 	holder    *conf.Holder
 	directory *directory
 	peers     *wire.Pool
@@ -71,6 +72,7 @@
 	if err := kern.Provide[store.Store](d.kernel, nameStore, client); err != nil {
 		return err
 	}
+	d.state.store = client
 	d.state.directory = newDirectory(client, d.log)
 	return kern.Provide(d.kernel, nameHosts, d.state.directory)
 }
--- a/daemon/cell.go
+++ b/daemon/cell.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"rhubarbdrift.example/cell"
 	"rhubarbdrift.example/feed"
 	"rhubarbdrift.example/kern"
@@ -78,6 +80,7 @@
 		roster.WithReader(f.Read), roster.WithLogger(d.log))
 	roster.Register(server, service)
 	d.state.cell = &cellView{member: m, service: service, directory: d.state.directory}
+	wire.Handle(server, methodState, d.state.cell.state)
 	if err := kern.Provide(d.kernel, nameFeed, f); err != nil {
 		return err
 	}
@@ -100,16 +103,23 @@
 	if err := kern.Provide(d.kernel, nameLease, k); err != nil {
 		return err
 	}
-	return kern.Provide(d.kernel, nameHandover, handover{k})
+	return kern.Provide(d.kernel, nameHandover, handover{keeper: k, log: d.log})
 }
 
 // handover gives up all leases in a planned stop, so that other daemons need
 // not wait for them to lapse.
-type handover struct{ keeper *lease.Keeper }
+type handover struct {
+	keeper *lease.Keeper
+	log    zerolog.Logger
+}
 
-// Stop releases the leases.
+// Stop releases the leases. Those that cannot be released lapse, so a stop
+// while the platform is gone is still a planned one.
 func (h handover) Stop(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	return h.keeper.Release(ctx)
+	if err := h.keeper.Release(ctx); err != nil {
+		h.log.Warn().Err(err).Msg("leases not handed over")
+	}
+	return nil
 }
--- /dev/null
+++ b/daemon/fleet.go
@@ -0,0 +1,83 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"rhubarbdrift.example/admin"
+	"rhubarbdrift.example/cell"
+	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/roster"
+	"rhubarbdrift.example/wire"
+)
+
+const (
+	methodState = "cell.state"
+	// stateTimeout bounds the question to one member.
+	stateTimeout = 500 * time.Millisecond
+	// stateTries is the number of members of a cell that are asked.
+	stateTries = 3
+)
+
+// cellState is what a member says about its cell.
+type cellState struct {
+	Version  model.ConfigVersion `cbor:"1,keyasint"`
+	Accepted model.ConfigVersion `cbor:"2,keyasint"`
+	Live     int                 `cbor:"3,keyasint"`
+}
+
+// state answers another daemon's question for the state of this cell.
+func (v *cellView) state(context.Context, *roster.Nothing) (*cellState, error) {
+	s := v.member.Status()
+	return &cellState{Version: s.Version, Accepted: s.Accepted, Live: len(v.Live())}, nil
+}
+
+// cells asks a member of each cell which configuration is in force there. A
+// cell that gives no answer is listed as not reached. The flag tells whether
+// the platform answered.
+func (d *Daemon) cells(ctx context.Context) ([]admin.CellStatus, bool) {
+	rosters, err := roster.Load(ctx, d.state.store)
+	if err != nil {
+		d.log.Warn().Err(err).Msg("cells not read; the status shows this daemon's cell only")
+		rosters = map[model.CellName]cell.Roster{d.settings.Cell: d.state.cell.member.Held()}
+	}
+	list := make([]admin.CellStatus, 0, len(rosters))
+	for name, r := range rosters {
+		list = append(list, admin.CellStatus{Cell: name, Hosts: len(r.Hosts)})
+	}
+	slices.SortFunc(list, func(a, b admin.CellStatus) int { return strings.Compare(string(a.Cell), string(b.Cell)) })
+	var g errgroup.Group
+	for i := range list {
+		g.Go(func() error {
+			d.askCell(ctx, &list[i], rosters[list[i].Cell].Hosts)
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return list, err == nil
+}
+
+func (d *Daemon) askCell(ctx context.Context, status *admin.CellStatus, hosts []cell.Host) {
+	for _, h := range hosts[:min(len(hosts), stateTries)] {
+		s, err := d.askState(ctx, h)
+		if err != nil {
+			continue
+		}
+		status.Reached, status.Live = true, s.Live
+		status.Version, status.Accepted = s.Version, s.Accepted
+		return
+	}
+}
+
+func (d *Daemon) askState(ctx context.Context, h cell.Host) (*cellState, error) {
+	if h.ID == d.settings.Host {
+		return d.state.cell.state(ctx, nil)
+	}
+	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	return wire.Call[roster.Nothing, cellState](ctx, d.state.peers.Client(h.Address), methodState, new(roster.Nothing))
+}
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"time"
 
 	"rhubarbdrift.example/admin"
@@ -13,8 +14,11 @@
 // fresh reports whether keyed routes may be served.
 func (d *Daemon) fresh() bool { return d.snapshot() != nil && d.state.cell.member.Fresh() }
 
+// Ready reports whether the balancer should send callers to this daemon.
+func (d *Daemon) Ready() bool { return d.fresh() && !d.state.stopping.Load() }
+
 // Status returns what the daemon knows about itself and its fleet.
-func (d *Daemon) Status() admin.Status {
+func (d *Daemon) Status(ctx context.Context) admin.Status {
 	fresh := d.fresh()
 	s := admin.Status{
 		Host:   d.settings.Host,
@@ -22,8 +26,9 @@
 		Domain: d.settings.Domain,
 		Cell:   d.settings.Cell,
 		Fresh:  fresh,
-		Ready:  fresh && !d.state.stopping.Load(),
+		Ready:  d.Ready(),
 	}
+	s.Cells, s.Platform = d.cells(ctx)
 	if c := d.snapshot(); c != nil {
 		s.Version = c.Version()
 		s.Accepted = d.state.cell.member.Accepted(c.Version())
