daemon: follow the move of Wish to package share

Change: the name only.

Run: go build ./... and go vet ./daemon succeed; both failed before. make lint reports 4 findings in share and wallet, which this change does not touch.

Conclusion: the module builds again.

--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -10,6 +10,7 @@
 	"rhubarbdrift.example/kern"
 	"rhubarbdrift.example/model"
 	"rhubarbdrift.example/quota"
+	"rhubarbdrift.example/share"
 	"rhubarbdrift.example/store"
 	"rhubarbdrift.example/wallet"
 )
@@ -46,7 +47,7 @@
 }
 
 // Wish does nothing while there is one owner.
-func (l *limits) Wish(context.Context, model.Region, quota.Wish) error { return nil }
+func (l *limits) Wish(context.Context, model.Region, share.Wish) error { return nil }
 
 // allShards is the table of a daemon that owns all shards.
 type allShards struct{ host model.HostID }
