daemon, gate: queue requests in front of each pool

Cause: the daemon let every request through to the target choice, where those that found no slot raced for the next one. A retry ran without a place in the pool, so a queue would have let more requests in than the pool has capacity.

Change: the queue set is registered as "queues" and follows the configuration; its capacity is the picker's. The settings have queue.customer and queue.pool. The gate keeps its place for all attempts and gives it back before it writes claims.

Run: go test -race ./..., golangci-lint on the changed packages.

Conclusion: daemons serve pools by fair queues.

--- a/config/config.go
+++ b/config/config.go
@@ -34,6 +34,13 @@
 	Admin   string `json:"admin"`
 }
 
+// Queue holds the lengths of the queue in front of each pool, in requests.
+// Zero is the default of package queue.
+type Queue struct {
+	Customer int `json:"customer"` // of one customer
+	Pool     int `json:"pool"`     // in all
+}
+
 // Operator is a person or program that may use the administration API.
 type Operator struct {
 	Name   string       `json:"name"`
@@ -54,6 +61,7 @@
 	Shards      int            `json:"shards"`
 	Drain       model.Millis   `json:"drain"`
 	Connections int            `json:"connections"`
+	Queue       Queue          `json:"queue"`
 	Level       string         `json:"level"`
 }
 
@@ -158,6 +166,9 @@
 	if s.Connections < 1 {
 		return fault.Invalid("connections", "must be at least 1", "remove the field for the default")
 	}
+	if s.Queue.Customer < 0 || s.Queue.Pool < 0 {
+		return fault.Invalid("queue", "has a negative length", "remove the field for the default")
+	}
 	if _, err := zerolog.ParseLevel(s.Level); err != nil || s.Level == "" {
 		return fault.Invalid("level", fmt.Sprintf("%q is unknown", s.Level), "use debug, info, warn or error")
 	}
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -10,6 +10,7 @@
 	"rhubarbdrift.example/kern"
 	"rhubarbdrift.example/pick"
 	"rhubarbdrift.example/plan"
+	"rhubarbdrift.example/queue"
 	"rhubarbdrift.example/store"
 )
 
@@ -19,6 +20,7 @@
 	nameFollow   = "follow"
 	nameExchange = "exchange"
 	namePicker   = "picker"
+	nameQueues   = "queues"
 	nameLimits   = "limits"
 	nameGate     = "gate"
 	nameCallers  = "callers"
@@ -37,6 +39,7 @@
 	steps := []func() error{
 		d.buildStore,
 		d.buildPicker,
+		d.buildQueues,
 		d.buildLimits,
 		d.buildGate,
 		d.buildAdmin,
@@ -84,12 +87,16 @@
 	if err != nil {
 		return err
 	}
+	queues, err := kern.Find[*queue.Set](d.kernel, nameQueues)
+	if err != nil {
+		return err
+	}
 	g := gate.New(gate.Parts{
 		Snapshot: d.snapshot,
 		Fresh:    d.fresh,
 		Limiter:  limits,
 		Claims:   noClaims{},
-		Queues:   noQueues{},
+		Queues:   queues,
 		Picker:   picker,
 		Exchange: exchange,
 		Observe:  func(gate.Sample) {},
--- a/daemon/queue.go
+++ b/daemon/queue.go
@@ -1,16 +1,22 @@
 package daemon
 
 import (
-	"context"
-	"time"
-
-	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/conf"
+	"rhubarbdrift.example/kern"
+	"rhubarbdrift.example/pick"
+	"rhubarbdrift.example/queue"
 )
 
-// noQueues admits all requests at once.
-type noQueues struct{}
-
-// Enter returns at once.
-func (noQueues) Enter(context.Context, model.PoolID, *model.Customer, time.Time) (func(), error) {
-	return func() {}, nil
+// buildQueues registers the queues in front of the pools. The picker, whose
+// capacity they use, is updated by its own subscription.
+func (d *Daemon) buildQueues() error {
+	picker, err := kern.Find[*pick.Picker](d.kernel, namePicker)
+	if err != nil {
+		return err
+	}
+	limit := d.settings.Queue
+	s := queue.NewSet(picker, queue.WithLength(limit.Customer, limit.Pool),
+		queue.WithLog(d.log), queue.WithMeter(d.meter.Scope()))
+	d.state.holder.Subscribe(func(c *conf.Snapshot) { s.Update(poolsOf(c)) })
+	return kern.Provide(d.kernel, nameQueues, s)
 }
--- a/gate/call.go
+++ b/gate/call.go
@@ -5,6 +5,7 @@
 	"context"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -38,7 +39,9 @@
 	claim    Claim
 	tried    []model.TargetID
 	domains  []model.Domain
-	sent     bool // a target may have run the request
+	sent     bool         // a target may have run the request
+	release  func()       // gives back the place in the pool
+	users    atomic.Int32 // of the place: run and its exchanges
 }
 
 // serve answers the request or returns the refusal to send.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -20,7 +20,8 @@
 	idleTimeout = 2 * time.Minute
 	// readTimeout bounds the time in which a caller must send a request.
 	readTimeout = 30 * time.Second
-	// waitStep is how often Wait looks for running requests.
+	// waitStep is how often Wait looks for running requests, and a request for
+	// a slot whose return is not announced.
 	waitStep = 20 * time.Millisecond
 )
 
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -33,7 +33,8 @@
 	address string // of the gate
 	fresh   atomic.Bool
 	claims  fakeClaims
-	enter   func() // called while a request is queued
+	enter   func()       // called while a request is queued
+	places  atomic.Int64 // given by the queue and not given back
 	mu      sync.Mutex
 	seen    []string // headers that the target received
 }
@@ -96,7 +97,8 @@
 	if r.enter != nil {
 		r.enter()
 	}
-	return func() {}, nil
+	r.places.Add(1)
+	return func() { r.places.Add(-1) }, nil
 }
 
 // received returns the headers that the target received.
@@ -121,6 +123,7 @@
 	r.claims.states = make(map[string]string)
 	r.fresh.Store(true)
 	address := listen(t, &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		must.Positive(t, r.places.Load(), must.Sprint("sent without a place in the pool"))
 		r.mu.Lock()
 		r.seen = append(r.seen, ctx.Request.Header.String())
 		r.mu.Unlock()
@@ -139,6 +142,10 @@
 		Queues: r, Picker: picker, Exchange: exchange, Observe: func(Sample) {},
 	})
 	r.address = listen(t, r.gate.Server())
+	t.Cleanup(func() { // each place was given back once
+		must.NoError(t, r.gate.Wait(context.Background()))
+		must.Zero(t, r.places.Load())
+	})
 	return r
 }
 
--- a/gate/run.go
+++ b/gate/run.go
@@ -15,30 +15,41 @@
 )
 
 // run sends the request to targets until one answers or the refusal is final.
+// The place in the pool is given back before claims are written.
 func (c *call) run() *Refusal {
 	c.gate.budget.request(c.pool.ID)
-	hold, release, r := c.acquire()
+	hold, r := c.acquire()
 	if r != nil {
 		return c.giveUp(r)
 	}
-	for attempt := 0; ; attempt++ {
+	out, r := c.attempt(hold)
+	c.leave()
+	if r != nil {
+		return c.giveUp(r)
+	}
+	return c.finish(&out)
+}
+
+// attempt sends the request to the target of the hold and, while that makes
+// sense, to others. The last outcome is final.
+func (c *call) attempt(hold *pick.Hold) (exch.Outcome, *Refusal) {
+	for n := 0; ; n++ {
 		if r := c.recheck(); r != nil {
 			hold.Done(pick.Slow) // frees the slot without raising the target's limit
-			release()
-			return c.giveUp(r)
+			return exch.Outcome{}, r
 		}
-		out := c.exchange(hold, release)
+		out := c.exchange(hold)
 		c.sent = c.sent || !out.NotRun()
-		if !c.again(&out, attempt) {
-			return c.finish(&out)
+		if !c.again(&out, n) {
+			return out, nil
 		}
 		// The first answer is kept until there is another target to try.
 		next, err := c.gate.parts.Picker.Pick(c.need())
 		if err != nil {
-			return c.finish(&out)
+			return out, nil
 		}
 		c.ctx.Response.Reset()
-		hold, release = next, func() {}
+		hold = next
 	}
 }
 
@@ -46,31 +57,49 @@
 	return pick.Need{Pool: c.pool.ID, Deadline: c.deadline, Tried: c.tried, Domains: c.domains}
 }
 
-// acquire waits for the pool's queue and a target with a free slot.
-func (c *call) acquire() (*pick.Hold, func(), *Refusal) {
+// acquire waits for the pool's queue and a target with a free slot. The place
+// in the pool that the queue gives is kept for all attempts.
+func (c *call) acquire() (*pick.Hold, *Refusal) {
 	ctx, cancel := context.WithDeadline(context.Background(), c.deadline)
 	defer cancel()
 	release, err := c.gate.parts.Queues.Enter(ctx, c.pool.ID, c.customer, c.deadline)
 	if err != nil {
-		return nil, nil, capacityRefusal(err)
+		return nil, capacityRefusal(err)
 	}
+	c.release = release
+	c.users.Store(1)
 	for {
 		free := c.gate.parts.Picker.Free(c.pool.ID)
 		hold, err := c.gate.parts.Picker.Pick(c.need())
 		if err == nil {
-			return hold, release, nil
+			return hold, nil
 		}
 		if !fault.Is(err, pick.KindBusy) || !waitFree(ctx, free) {
-			release()
-			return nil, nil, capacityRefusal(err)
+			c.leave()
+			return nil, capacityRefusal(err)
 		}
 	}
 }
 
+// leave ends one use of the call's place in the pool: that of run, or that of
+// an exchange, whose answer may still be streaming when run ends. The last one
+// gives the place back to the queue.
+func (c *call) leave() {
+	if c.users.Add(-1) == 0 {
+		c.release()
+	}
+}
+
+// waitFree waits for a free slot, but no longer than waitStep: the end of a
+// target's pause after it shed load is not announced.
 func waitFree(ctx context.Context, free <-chan struct{}) bool {
+	t := time.NewTimer(waitStep)
+	defer t.Stop()
 	select {
 	case <-free:
 		return true
+	case <-t.C:
+		return true
 	case <-ctx.Done():
 		return false
 	}
@@ -78,7 +107,7 @@
 
 // exchange sends the request to the target of the hold. The answer's body may
 // still be read by the caller when it returns.
-func (c *call) exchange(hold *pick.Hold, release func()) exch.Outcome {
+func (c *call) exchange(hold *pick.Hold) exch.Outcome {
 	target := hold.Target()
 	c.tried = append(c.tried, target.ID)
 	c.domains = append(c.domains, target.Domain)
@@ -87,11 +116,12 @@
 	c.prepare(req)
 	started := time.Now()
 	c.gate.begin()
+	c.users.Add(1)
 	ctx, cancel := context.WithDeadline(context.Background(), c.deadline)
 	return c.gate.parts.Exchange.Stream(ctx, target, req, &c.ctx.Response, func(end exch.Outcome) {
 		cancel()
 		hold.Done(resultOf(&end))
-		release()
+		c.leave()
 		c.observe(target.ID, end, time.Since(started))
 		c.gate.end()
 	})
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -50,9 +51,11 @@
 func WithClock(c model.Clock) Option { return func(s *settings) { s.clock = c } }
 
 // WithLength sets how many requests may wait for one pool: of one customer,
-// and in all.
+// and in all. Zero keeps the default.
 func WithLength(customer, all int) Option {
-	return func(s *settings) { s.customer, s.length = max(1, customer), max(1, all) }
+	return func(s *settings) {
+		s.customer, s.length = cmp.Or(customer, s.customer), cmp.Or(all, s.length)
+	}
 }
 
 // WithLog sets the logger.
