--- a/daemon/build.go
+++ b/daemon/build.go
@@ -11,6 +11,7 @@
 	"rhubarbdrift.example/model"
 	"rhubarbdrift.example/pick"
 	"rhubarbdrift.example/plan"
+	"rhubarbdrift.example/queue"
 	"rhubarbdrift.example/store"
 	"rhubarbdrift.example/wire"
 )
@@ -28,6 +29,7 @@
 	nameClaims   = "claims"
 	nameExchange = "exchange"
 	namePicker   = "picker"
+	nameQueues   = "queues"
 	nameLimits   = "limits"
 	nameGate     = "gate"
 	nameCallers  = "callers"
@@ -54,6 +56,7 @@
 		d.buildCell,
 		d.buildLease,
 		d.buildPicker,
+		d.buildQueues,
 		d.buildLimits,
 		d.buildClaims,
 		d.buildGate,
@@ -128,12 +131,16 @@
 	if err != nil {
 		return err
 	}
+	queues, err := kern.Find[*queue.Set](d.kernel, nameQueues)
+	if err != nil {
+		return err
+	}
 	g := gate.New(gate.Parts{
 		Snapshot: d.snapshot,
 		Fresh:    d.fresh,
 		Limiter:  limits,
 		Claims:   claims,
-		Queues:   noQueues{},
+		Queues:   queues,
 		Picker:   picker,
 		Exchange: exchange,
 		Observe:  func(gate.Sample) {},
