--- a/quota/quota.go
+++ b/quota/quota.go
@@ -42,6 +42,7 @@
 
 	"rhubarbdrift.example/fault"
 	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/share"
 )
 
 const (
@@ -100,8 +101,9 @@
 	Prompt bool         `cbor:"4,keyasint,omitempty"` // report spent tokens at once: the burst is nearly outstanding
 }
 
-// Asker carries a Take to the owner of the shard in a region. An error of type
-// *Refusal is the owner's; any other means that the owner was not reached.
+// Asker carries a Take to the owner of the shard in a region. Errors of the
+// kinds fault.Limited, fault.Conflict, fault.Missing and NotOwner are the
+// owner's; any other means that the owner was not reached.
 type Asker interface {
 	Ask(ctx context.Context, region model.Region, shard model.Shard, t Take) (Grant, error)
 }
@@ -114,6 +116,9 @@
 	Owner(s model.Shard) (model.HostID, bool)
 }
 
+// Wish tells the owner of the same shard in another region what this region needs.
+type Wish = share.Wish
+
 // Refusal is the error of Take and Admit. It unwraps to a typed fault.
 type Refusal struct {
 	Wait  time.Duration // after which a token is expected, for fault.Limited
--- a/wallet/wallet.go
+++ b/wallet/wallet.go
@@ -28,7 +28,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -278,9 +277,14 @@
 	return err
 }
 
+// unreached reports whether an ask did not come to the shard's owner.
 func unreached(err error) bool {
-	var r *quota.Refusal
-	return err != nil && (fault.Is(err, quota.NotOwner) || !errors.As(err, &r))
+	switch fault.KindOf(err) {
+	case fault.Limited, fault.Conflict, fault.Missing:
+		return false
+	default:
+		return err != nil
+	}
 }
 
 func (w *Wallet) avoids(p path) bool {
