cell, roster, feed: check acceptance while the roster changes

Cause: the freshness test had a fixed roster, and heartbeats carried the incarnation, which cost more than the rest of the message.

Change: a test runs seven hosts for 15 minutes of virtual time while hosts join, leave, restart, lose the platform, are cut off one-way or cannot transfer chunks, and checks that no daemon is fresh with a version older than an accepted one. The high bits of the sequence number replace the incarnation in heartbeats. The first run of the test found violations; their cause was the test, which let two daemons run as one host. The test now stops the earlier one, and the package comment states the condition.

Conclusion: acceptance holds in these schedules with changing rosters.

--- a/cell/beat.go
+++ b/cell/beat.go
@@ -40,24 +40,28 @@
 	ContactNo
 )
 
+// seqBits is the number of low bits of Seq that count heartbeats, enough for
+// 24 days. The bits above are a hash of the incarnation, which costs less than
+// the incarnation itself in each heartbeat.
+const seqBits = 20
+
 // Beat is a heartbeat. It informs the receiver; votes use questions instead.
 type Beat struct {
-	From        model.HostID        `cbor:"1,keyasint"`
-	Incarnation model.Incarnation   `cbor:"2,keyasint"`
-	Seq         uint64              `cbor:"3,keyasint"` // starts at a different number in each incarnation
-	Echo        uint64              `cbor:"4,keyasint"` // newest Seq from the receiver
-	Version     model.ConfigVersion `cbor:"5,keyasint"`
-	Roster      store.Version       `cbor:"6,keyasint"` // version of the roster that the sender holds
-	Contact     Contact             `cbor:"7,keyasint"`
-	Loaded      bool                `cbor:"8,keyasint"`           // the sender may vouch
-	Vouch       bool                `cbor:"9,keyasint,omitempty"` // holds nothing newer than the beat Echo reported
-	Address     string              `cbor:"10,keyasint,omitempty"`
+	From    model.HostID        `cbor:"1,keyasint"`
+	Seq     uint64              `cbor:"2,keyasint"` // the high bits differ between incarnations
+	Echo    uint64              `cbor:"3,keyasint"` // newest Seq from the receiver
+	Version model.ConfigVersion `cbor:"4,keyasint"`
+	Roster  store.Version       `cbor:"5,keyasint"` // version of the roster that the sender holds
+	Contact Contact             `cbor:"6,keyasint,omitempty"`
+	Loaded  bool                `cbor:"7,keyasint,omitempty"` // the sender may vouch
+	Vouch   bool                `cbor:"8,keyasint,omitempty"` // holds nothing newer than the beat Echo reported
+	Address string              `cbor:"9,keyasint,omitempty"` // only from a host that is not in its roster
 }
 
 // Check reports the first mistake in the heartbeat.
 func (b *Beat) Check() error {
-	if b.From == "" || b.Incarnation == "" {
-		return fault.Invalid("heartbeat", "has no sender", "run compatible versions of rhubarbdrift on all hosts")
+	if b.From == "" || b.Seq == 0 {
+		return fault.Invalid("heartbeat", "has no sender or number", "run compatible versions of rhubarbdrift on all hosts")
 	}
 	if b.Contact > ContactNo {
 		return fault.Invalid("heartbeat contact", fmt.Sprintf("is %d", b.Contact), "run compatible versions of rhubarbdrift on all hosts")
--- a/cell/doc.go
+++ b/cell/doc.go
@@ -13,6 +13,9 @@
 // the newest root of the platform or the highest version that more than half
 // of the roster reports, and it takes part in no vote for two periods.
 //
+// A host must not run two daemons at once: the versions that the earlier one
+// reported would count for the later one.
+//
 // The roster is the object cell/<name>. Every update changes one host, and
 // only after more than half of the roster holds the roster before. So any two
 // majorities that can act at the same time share a member.
--- a/cell/member.go
+++ b/cell/member.go
@@ -13,10 +13,9 @@
 
 // Member is this daemon's view of its cell. It is safe for concurrent use.
 type Member struct {
-	self        Host
-	name        model.CellName
-	incarnation model.Incarnation
-	clock       model.Clock
+	self  Host
+	name  model.CellName
+	clock model.Clock
 
 	mu       sync.Mutex
 	started  time.Time
@@ -61,12 +60,11 @@
 // incarnation must differ from that of all earlier runs on the host.
 func NewMember(self Host, name model.CellName, incarnation model.Incarnation, options ...Option) *Member {
 	m := &Member{
-		self:        self,
-		name:        name,
-		incarnation: incarnation,
-		clock:       time.Now,
+		self:  self,
+		name:  name,
+		clock: time.Now,
 		// Echoes for an earlier incarnation must match none of our numbers.
-		seq:   xxhash.Sum64String(string(self.ID)+"\x00"+string(incarnation)) << 20,
+		seq:   xxhash.Sum64String(string(self.ID)+"\x00"+string(incarnation)) << seqBits,
 		sent:  make(map[uint64]time.Time),
 		peers: make(map[model.HostID]*peer),
 	}
@@ -118,7 +116,7 @@
 
 func (m *Member) beatFor(id model.HostID, now time.Time) Beat {
 	b := Beat{
-		From: m.self.ID, Incarnation: m.incarnation, Seq: m.seq,
+		From: m.self.ID, Seq: m.seq,
 		Version: m.version, Roster: m.roster.Version, Contact: m.contact(now), Loaded: m.loaded,
 	}
 	if !m.roster.Has(m.self.ID) {
@@ -156,7 +154,7 @@
 	if b.Address != "" {
 		p.host.Address = b.Address
 	}
-	if b.Incarnation != p.beat.Incarnation || b.Seq > p.beat.Seq {
+	if b.Seq>>seqBits != p.beat.Seq>>seqBits || b.Seq > p.beat.Seq {
 		p.beat, p.heard = b, now
 	}
 	at, ok := m.sent[b.Echo]
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -37,7 +38,9 @@
 	mu      sync.Mutex
 	daemons map[string]*daemon
 	cut     map[string]bool
-	mute    atomic.Bool // lose all notices
+	stuck   map[string]bool // heartbeats work, transfers of the configuration do not
+	mute    atomic.Bool     // lose all notices
+	naive   bool            // vouch regardless of versions
 	runs    int
 	group   sync.WaitGroup
 }
@@ -45,7 +48,7 @@
 func (f *fleet) to(from, address string) (*daemon, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.cut[from] || f.cut[address] || f.daemons[address] == nil {
+	if f.cut[from] || f.cut[address] || f.cut[from+">"+address] || f.daemons[address] == nil {
 		return nil, errCut
 	}
 	return f.daemons[address], nil
@@ -64,6 +67,7 @@
 
 func (p path) Send(address string, b cell.Beat) {
 	if d, err := p.to(p.from, address); err == nil {
+		b.Vouch = b.Vouch || p.naive
 		d.cells.Member().Handle(b)
 	}
 }
@@ -94,8 +98,18 @@
 	return err
 }
 
-func (p peers) Root(_ context.Context, address string) (conf.Root, error) {
+func (p peers) transfer(address string) (*daemon, error) {
 	d, err := p.to(p.from, address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stuck[p.from] {
+		return nil, errCut
+	}
+	return d, err
+}
+
+func (p peers) Root(_ context.Context, address string) (conf.Root, error) {
+	d, err := p.transfer(address)
 	if err != nil {
 		return conf.Root{}, err
 	}
@@ -103,7 +117,7 @@
 }
 
 func (p peers) Pull(_ context.Context, address string, q Pull) (Chunks, error) {
-	d, err := p.to(p.from, address)
+	d, err := p.transfer(address)
 	if err != nil {
 		return Chunks{}, err
 	}
@@ -111,12 +125,16 @@
 }
 
 func newFleet() *fleet {
-	return &fleet{mem: store.NewMem(), daemons: make(map[string]*daemon), cut: make(map[string]bool)}
+	return &fleet{mem: store.NewMem(), daemons: make(map[string]*daemon), cut: make(map[string]bool), stuck: make(map[string]bool)}
 }
 
 // start runs a daemon in place of an earlier one of the name.
 func (f *fleet) start(ctx context.Context, name string, seeds ...string) *daemon {
 	f.runs++
+	if old := f.daemons[name]; old != nil {
+		old.cancel()
+		synctest.Wait() // two daemons never run on one host
+	}
 	d := &daemon{link: f.mem.Link()}
 	m := cell.NewMember(cell.Host{ID: model.HostID(name), Address: name}, "c", model.Incarnation(fmt.Sprint(f.runs)))
 	d.Service = New(conf.NewHolder(), m, d.link, peers{f, name})
@@ -213,7 +231,6 @@
 		for i := range 5 {
 			name := fmt.Sprint("h", i)
 			f.daemons[name].link.SetUnavailable(true)
-			f.daemons[name].cancel()
 			d := f.start(ctx, name, "h0", "h1", "h2", "h3", "h4")
 			must.False(t, d.member.Fresh())
 			time.Sleep(30 * time.Second)
@@ -230,6 +247,83 @@
 	})
 }
 
+// chaos runs seven hosts for 15 minutes under random faults that change the
+// roster, and returns the first daemon that is fresh with a version older than
+// one that any daemon reports as accepted.
+func chaos(t *testing.T, seed uint64, naive bool) (violation string, accepted model.ConfigVersion, sizes map[int]bool) {
+	t.Helper()
+	sizes = make(map[int]bool)
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet()
+		f.naive = naive
+		ctx, cancel := context.WithCancel(t.Context())
+		random := rand.New(rand.NewPCG(seed, 2))
+		newest := model.ConfigVersion(1)
+		commit(t, f.mem, newest)
+		for range 1800 {
+			a, b := fmt.Sprint("h", random.IntN(7)), fmt.Sprint("h", random.IntN(7))
+			if d := f.daemons[a]; d == nil {
+				f.mem.SetHost(store.Host{ID: model.HostID(a)})
+				f.start(ctx, a, "h0", "h1", "h2", "h3")
+			} else {
+				switch n := random.IntN(400); {
+				case n < 3:
+					d.cancel()
+					synctest.Wait()
+					f.mem.RemoveHost(model.HostID(a))
+					f.set(func() { delete(f.daemons, a) })
+				case n < 6:
+					f.start(ctx, a, "h0", "h1", "h2", "h3")
+				case n < 50:
+					f.set(func() { f.cut[a+">"+b] = n < 18 })
+				case n < 60:
+					f.set(func() { f.cut[a] = n < 53 })
+				case n < 100:
+					d.link.SetUnavailable(n < 75)
+				case n < 120:
+					d.link.SetUnavailable(n < 110)
+					f.set(func() { f.stuck[a] = n < 110 })
+				case n < 126:
+					newest++
+					commit(t, f.mem, newest)
+				}
+			}
+			time.Sleep(500 * time.Millisecond)
+			for _, d := range f.daemons {
+				sizes[len(d.member.Held().Hosts)] = true
+				accepted = max(accepted, d.member.Status().Accepted)
+			}
+			for name, d := range f.daemons {
+				if v := d.member.Status().Version; violation == "" && d.member.Fresh() && v < accepted {
+					violation = fmt.Sprintf("%s is fresh with version %d after %d was accepted", name, v, accepted)
+				}
+			}
+		}
+		cancel()
+		f.group.Wait()
+	})
+	return violation, accepted, sizes
+}
+
+// TestAccepted guards against a daemon that serves with a version older than
+// an accepted one, while hosts join, leave, restart and are cut off one-way.
+// The same schedules must find a policy that vouches regardless of versions.
+func TestAccepted(t *testing.T) {
+	naive := 0
+	for seed := range uint64(3) {
+		violation, accepted, sizes := chaos(t, seed, false)
+		must.EqOp(t, "", violation, must.Sprint("seed ", seed))
+		must.Greater(t, 5, int(accepted))
+		must.Greater(t, 2, len(sizes), must.Sprint("the roster changed"))
+		if violation, _, _ := chaos(t, seed, true); violation != "" {
+			naive++
+		}
+		t.Logf("seed %d: version %d accepted, %d sizes of the roster", seed, accepted, len(sizes))
+	}
+	must.Positive(t, naive)
+	t.Logf("the naive policy fails in %d schedules", naive)
+}
+
 // TestWatch guards against a watch that misses changes after it was cut or
 // after the platform dropped old changes. Nothing else reads the root here.
 func TestWatch(t *testing.T) {
