feed, conf: leave silent sources early and measure an installation

Cause: a transfer from a source that went silent held up the next source for 10 s, longer than a daemon stays fresh, and all members that missed a notice asked the same peer first.

Change: each batch or chunk may take 2 s; at most three peers are asked in a period, from a different start on each host and in each period. A benchmark measures the installation of a change at the large size.

--- /dev/null
+++ b/conf/bench_test.go
@@ -0,0 +1,24 @@
+package conf
+
+import (
+	"testing"
+
+	"rhubarbdrift.example/model"
+)
+
+// BenchmarkAssemble measures the installation of a change of one chunk at the
+// large size, which each daemon does for each change.
+func BenchmarkAssemble(b *testing.B) {
+	in := sample(26_000)
+	root, chunks, _ := Build(in, 1, model.DigestOf(nil), "one")
+	get := func(d model.Digest) ([]byte, error) { return chunks[d], nil }
+	base, _ := Assemble(root, get)
+	in.Customers[0].Rate++
+	root, chunks, _ = Build(in, 2, model.DigestOf(nil), "two")
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := Assemble(root, get, WithBase(base)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -23,6 +24,11 @@
 	parallel = 8
 	// callTimeout bounds a small call to a peer or to the platform.
 	callTimeout = time.Second
+	// batchTimeout bounds the transfer of one batch or chunk, so that a source
+	// that went silent is left for another one within FreshFor.
+	batchTimeout = 2 * time.Second
+	// sources is the number of peers that are asked in one period.
+	sources = 3
 	// fetchTimeout bounds the transfer of a configuration. 5 MB take 1.4 s on
 	// an idle link between regions (30 Mbit/s).
 	fetchTimeout = 10 * time.Second
@@ -66,9 +72,10 @@
 	peers  Peers
 	logger zerolog.Logger
 
-	kick chan struct{}
-	mu   sync.Mutex
-	next Notice // newest known root; without an address it is on the platform
+	kick   chan struct{}
+	rounds int
+	mu     sync.Mutex
+	next   Notice // newest known root; without an address it is on the platform
 }
 
 // Option sets an optional property of a Service.
@@ -201,12 +208,20 @@
 	}
 }
 
-// newer returns the live peers with a newer version, the newest first.
+// newer returns some live peers with a newer version, the newest first. Among
+// equals it starts elsewhere in each period and on each host, so that one slow
+// peer neither blocks nor serves the whole cell.
 func (s *Service) newer() []cell.Peer {
 	v := s.version()
 	peers := slices.DeleteFunc(s.member.Peers(), func(p cell.Peer) bool { return !p.Live || p.Version <= v })
-	slices.SortStableFunc(peers, func(a, b cell.Peer) int { return int(b.Version) - int(a.Version) })
-	return peers
+	if len(peers) == 0 {
+		return nil
+	}
+	s.rounds++
+	first := (model.Rank(s.member.Self().ID, "source") + uint64(s.rounds)) % uint64(len(peers))
+	peers = append(peers[first:], peers[:first]...)
+	slices.SortStableFunc(peers, func(a, b cell.Peer) int { return cmp.Compare(b.Version, a.Version) })
+	return peers[:min(len(peers), sources)]
 }
 
 func (s *Service) install(ctx context.Context, n Notice) error {
@@ -274,6 +289,8 @@
 	g.SetLimit(parallel)
 	for _, d := range need {
 		g.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, batchTimeout)
+			defer cancel()
 			o, err := s.store.Get(ctx, store.KindChunk, string(d))
 			if err != nil {
 				return err
@@ -290,7 +307,9 @@
 func (s *Service) pull(ctx context.Context, address string, need []model.Digest) (map[model.Digest][]byte, error) {
 	out := make(map[model.Digest][]byte, len(need))
 	for len(need) > 0 {
-		got, err := s.peers.Pull(ctx, address, Pull{Digests: need})
+		callCtx, cancel := context.WithTimeout(ctx, batchTimeout)
+		got, err := s.peers.Pull(callCtx, address, Pull{Digests: need})
+		cancel()
 		if err != nil {
 			return nil, err
 		}
