roster: check that unanswered connections are dropped

Cause: no test covered the replacement of connections on which heartbeats get no echo.

Change: the outage test counts dropped connections: none in an hour of a quiet outage, one on each side for each peer of a host that is cut off.

Conclusion: the drop happens once within 10 s of silence.

--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,6 +25,7 @@
 	services map[string]*Service
 	down     map[string]bool
 	stop     map[string]context.CancelFunc
+	resets   atomic.Int32 // dropped connections
 	group    sync.WaitGroup
 }
 
@@ -61,7 +63,7 @@
 	}
 }
 
-func (path) Reset(string)    {}
+func (p path) Reset(string)  { p.net.resets.Add(1) }
 func (path) Retain([]string) {}
 
 func (p path) Ask(ctx context.Context, address string, q cell.Question) (cell.Answer, error) {
@@ -151,7 +153,8 @@
 }
 
 // TestOutage guards against a cell that loses freshness or its roster when the
-// platform is gone for long, also for a daemon that starts meanwhile.
+// platform is gone for long, also for a daemon that starts meanwhile, and
+// against connections that are kept although nothing is answered on them.
 func TestOutage(t *testing.T) {
 	run(t, func(t *testing.T, ctx context.Context, n *network, links map[string]*store.Link) {
 		for _, l := range links {
@@ -162,8 +165,10 @@
 		for name, s := range n.services {
 			must.True(t, s.Member().Fresh(), must.Sprint(name))
 		}
+		must.EqOp(t, 0, n.resets.Load())
 		n.cut("h0", true)
 		time.Sleep(10 * time.Second)
+		must.EqOp(t, 8, n.resets.Load(), must.Sprint("each side dropped the connection to the other once"))
 		must.False(t, n.services["h0"].Member().Fresh())
 		n.cut("h0", false)
 		n.start(ctx, "h0", "2", "h1", "h2")
