--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -33,7 +33,8 @@
 	address string // of the gate
 	fresh   atomic.Bool
 	claims  fakeClaims
-	enter   func() // called while a request is queued
+	enter   func()       // called while a request is queued
+	places  atomic.Int64 // given by the queue and not given back
 	mu      sync.Mutex
 	seen    []string // headers that the target received
 }
@@ -49,7 +50,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.broken {
-		return nil, fault.New(fault.Unavailable, "gone", "wait")
+		return nil, fault.New(fault.Kind(KindUnclaimed), "gone", "wait")
 	}
 	if state := f.states[key]; state != "" {
 		return nil, fault.New(fault.Kind(state), state, "none")
@@ -84,6 +85,7 @@
 
 func (c *fakeClaim) Done(context.Context, int) error { return c.set("done") }
 func (c *fakeClaim) Release(context.Context) error   { return c.set("") }
+func (c *fakeClaim) Abandon(context.Context) error   { return nil }
 
 type freeToken struct{}
 
@@ -96,7 +98,8 @@
 	if r.enter != nil {
 		r.enter()
 	}
-	return func() {}, nil
+	r.places.Add(1)
+	return func() { r.places.Add(-1) }, nil
 }
 
 // received returns the headers that the target received.
@@ -121,6 +124,7 @@
 	r.claims.states = make(map[string]string)
 	r.fresh.Store(true)
 	address := listen(t, &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		must.Positive(t, r.places.Load(), must.Sprint("sent without a place in the pool"))
 		r.mu.Lock()
 		r.seen = append(r.seen, ctx.Request.Header.String())
 		r.mu.Unlock()
@@ -139,6 +143,10 @@
 		Queues: r, Picker: picker, Exchange: exchange, Observe: func(Sample) {},
 	})
 	r.address = listen(t, r.gate.Server())
+	t.Cleanup(func() { // each place was given back once
+		must.NoError(t, r.gate.Wait(context.Background()))
+		must.Zero(t, r.places.Load())
+	})
 	return r
 }
 
--- a/wallet/wallet.go
+++ b/wallet/wallet.go
@@ -28,7 +28,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -225,7 +224,7 @@
 	if i > 0 {
 		list, timeout = w.regions[1:], remoteTimeout
 	}
-	cause, wait := error(quota.Unreached(nil)), time.Duration(0)
+	cause, wait := quota.Unreached(nil), time.Duration(0)
 	for _, r := range list {
 		if w.avoids(path{r, a.shard}) {
 			continue
@@ -278,9 +277,14 @@
 	return err
 }
 
+// unreached reports whether an ask did not come to the shard's owner.
 func unreached(err error) bool {
-	var r *quota.Refusal
-	return err != nil && (fault.Is(err, quota.NotOwner) || !errors.As(err, &r))
+	switch fault.KindOf(err) {
+	case fault.Limited, fault.Conflict, fault.Missing:
+		return false
+	default:
+		return err != nil
+	}
 }
 
 func (w *Wallet) avoids(p path) bool {
