quota: test late writes of share moves and lowered limits directly

Cause: the random schedules did not find a move that is taken back after a lost answer, a missing fence at a takeover, expiries applied late or a lowered rate that counts late.

--- a/quota/owner_test.go
+++ b/quota/owner_test.go
@@ -119,7 +119,7 @@
 		}
 		last := make([]Grant, 4)
 		for seq := range uint64(400) {
-			pass := time.Duration(1+rng.IntN(300)) * time.Millisecond
+			pass := time.Duration(1+rng.IntN(900)) * time.Millisecond // some grants expire in between
 			history = append(history, porcupine.Operation{ClientId: 9, Input: call{pass: pass}, Output: Grant{}, Call: next(), Return: next()})
 			time.Sleep(pass)
 			o.idle()
@@ -158,9 +158,9 @@
 // lease lapsed, and limits that are lowered late.
 func TestTake(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l, c := &lease{[]bool{true}}, &model.Customer{ID: "sugarleaf", Rate: 10, Burst: 40}
+		l, c := &lease{[]bool{true}}, &model.Customer{ID: "sugarleaf", Rate: 20, Burst: 40}
 		o, ctx := newReady(t, l, c), t.Context()
-		time.Sleep(900 * time.Millisecond) // 9 tokens
+		time.Sleep(900 * time.Millisecond) // 18 tokens
 		ask := Take{From: asking, Seq: 2, Customer: c.ID, Want: 4}
 		first, err := o.Take(ctx, ask)
 		must.NoError(t, err)
@@ -175,7 +175,7 @@
 			_, err = o.Take(ctx, report)
 			must.NoError(t, err)
 		}
-		c.Burst = 8 // 8 of the 9 tokens stay
+		c.Burst = 8 // 8 of the 18 tokens stay
 		got := 0
 		for seq := uint64(4); err == nil; seq++ {
 			var g Grant
@@ -187,6 +187,14 @@
 		must.Zero(t, back.N)
 		must.True(t, fault.Is(err, fault.Limited) && WaitOf(err) > 0)
 
+		c.Burst = 100
+		_, err = o.Take(ctx, report)
+		must.NoError(t, err)
+		time.Sleep(200 * time.Millisecond) // 4 tokens, but none at the lowered rate
+		c.Rate = 1
+		_, err = o.Take(ctx, Take{From: asking, Seq: 98, Customer: c.ID, Want: 1})
+		must.True(t, fault.Is(err, fault.Limited))
+
 		l.answers = []bool{true, false}
 		_, err = o.Take(ctx, Take{From: asking, Seq: 99, Customer: c.ID, Want: 1})
 		must.True(t, fault.Is(err, NotOwner))
