wallet, share: space asks above the rate and ignore the noise of small demands

Return could race with the reports of Run on one WaitGroup. Change: asks stay spaced after refusals, the noise estimate counts few events as little evidence, Return and Run wait for their own reports.

--- a/share/share.go
+++ b/share/share.go
@@ -146,16 +146,13 @@
 	noiseFactor = 4
 )
 
-// wholeMove is the factor between the demands of two regions at which a share
-// that cannot be divided moves.
-const wholeMove = 2
-
 // Shift returns the parts of giver and taker that follow their demands, and
 // false if the change is too small. A burst below two tokens is not divided.
 func Shift(c *model.Customer, giver, taker Part, own, other Rates) (Part, Part, bool) {
 	if both := giver.Burst + taker.Burst; float64(both)*float64(c.Burst) < 2 {
 		moved := Part{Rate: giver.Rate + taker.Rate, Burst: both}
-		return Part{}, moved, giver.Burst > 0 && other.Fast > wholeMove*own.Fast
+		part, noise := split(own.Slow, other.Slow, slowSpan)
+		return Part{}, moved, giver.Burst > 0 && part-noiseFactor*noise > 0.5
 	}
 	rate, ok := raise(float64(giver.Rate), float64(taker.Rate), own, other, leastRate)
 	if !ok {
@@ -192,12 +189,20 @@
 	if own+other <= 0 {
 		return 0, false
 	}
-	part := other / (own + other)
-	noise := math.Sqrt(part * (1 - part) / ((own + other) * 2 * span.Seconds()))
+	part, noise := split(own, other, span)
 	want := math.Max(least, math.Min(total-least, total*part))
 	return want - taker, want-taker >= total*math.Max(leastMove, noiseFactor*noise)
 }
 
+// split returns the taker's part of the demand, measured over a span, and its
+// standard deviation. Four events are added, two for each side, since a few
+// events that are all on one side show little.
+func split(own, other float64, span time.Duration) (part, noise float64) {
+	n := (own+other)*2*span.Seconds() + 4
+	p := (other*2*span.Seconds() + 2) / n
+	return other / math.Max(own+other, math.SmallestNonzeroFloat64), math.Sqrt(p * (1 - p) / n)
+}
+
 // Move is a share move of which the first step has been made: the parts of the
 // giver and the taker afterwards.
 type Move struct {
--- a/wallet/account.go
+++ b/wallet/account.go
@@ -43,7 +43,10 @@
 func (l *lane) end(now time.Time, cause error, wait time.Duration, i int) {
 	l.asking, l.cause = false, cause
 	if cause == nil {
-		l.backoff, l.until = 0, time.Time{}
+		// Asks stay spaced for a while after refusals: a customer above its rate
+		// would otherwise cause one for every few tokens.
+		l.backoff /= 2
+		l.until = now.Add(l.backoff)
 		return
 	}
 	factor := time.Duration(1)
--- a/wallet/wallet.go
+++ b/wallet/wallet.go
@@ -84,7 +84,6 @@
 	accounts map[model.CustomerID]*account
 	hot      map[*account]struct{} // with grants
 	avoided  map[path]time.Time    // until when
-	asks     sync.WaitGroup
 }
 
 // path leads to the owner of a shard in a region.
@@ -209,7 +208,7 @@
 		l := &a.lanes[i]
 		if !l.asking && !now.Before(l.until) {
 			l.asking = true
-			w.asks.Go(func() { w.askLane(a, l, i) })
+			go w.askLane(a, l, i) // ends within the timeout of its asks
 		}
 		if l.asking && l.cause == nil {
 			break // no need to ask further lanes yet
@@ -304,13 +303,14 @@
 	tick, clean := time.NewTicker(walletTick), time.NewTicker(forgetTime)
 	defer tick.Stop()
 	defer clean.Stop()
-	defer w.asks.Wait()
+	var reports sync.WaitGroup
+	defer reports.Wait()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-tick.C:
-			w.settle(false)
+			w.settle(false, &reports)
 		case <-clean.C:
 			w.forget()
 		}
@@ -318,7 +318,7 @@
 }
 
 // settle sends the reports that are due; with all it returns every unused token.
-func (w *Wallet) settle(all bool) {
+func (w *Wallet) settle(all bool, g *sync.WaitGroup) {
 	now := w.clock()
 	for _, a := range w.withGrants() {
 		a.mu.Lock()
@@ -333,7 +333,7 @@
 				timeout = localTimeout
 			}
 			// A lost report costs the tokens until their grant expires.
-			w.asks.Go(func() { _ = w.ask(a, r, timeout, false) })
+			g.Go(func() { _ = w.ask(a, r, timeout, false) })
 		}
 	}
 }
@@ -366,12 +366,13 @@
 }
 
 // Return gives all unused tokens back, for a planned stop. It waits for the
-// asks that are under way.
+// owners' answers or the end of ctx.
 func (w *Wallet) Return(ctx context.Context) error {
-	w.settle(true)
+	var g sync.WaitGroup
+	w.settle(true, &g)
 	done := make(chan struct{})
 	go func() {
-		w.asks.Wait()
+		g.Wait()
 		close(done)
 	}()
 	select {
--- a/wallet/wallet_test.go
+++ b/wallet/wallet_test.go
@@ -54,6 +54,31 @@
 	})
 }
 
+// recorder grants five tokens to each ask and keeps the last report.
+type recorder struct{ last quota.Take }
+
+func (r *recorder) Ask(_ context.Context, _ model.Region, _ model.Shard, t quota.Take) (quota.Grant, error) {
+	r.last = t
+	return quota.Grant{ID: 7, N: 5, Valid: 500}, nil
+}
+
+// TestReturn guards against a planned stop that keeps unused tokens, or that
+// returns those of requests that may still be sent.
+func TestReturn(t *testing.T) {
+	r, c := new(recorder), &model.Customer{ID: "sugarleaf"}
+	w := New(quota.Origin{Region: "north"}, regions, r)
+	sent, err := w.Admit(t.Context(), c)
+	must.NoError(t, err)
+	must.True(t, sent.Valid())
+	given, err := w.Admit(t.Context(), c)
+	must.NoError(t, err)
+	given.Cancel()
+	_, err = w.Admit(t.Context(), c) // waits in a queue
+	must.NoError(t, err)
+	must.NoError(t, w.Return(t.Context()))
+	must.Eq(t, []quota.Report{{Grant: 7, Spent: 1, Returned: 3}}, r.last.Reports)
+}
+
 // BenchmarkAdmit measures an admission with a token that is here.
 func BenchmarkAdmit(b *testing.B) {
 	w := New(quota.Origin{Region: "north"}, regions, direct{})
