claim: test concurrent requests with one key in a daemon

Cause: the rule of one write for concurrent requests was only tested after the first claim was made. Change: five concurrent calls of Begin, one write, four refusals as open. Conclusion: concurrent duplicates cost no writes.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -334,15 +335,26 @@
 	synctest.Test(t, func(t *testing.T) {
 		p, ctx := newPlatform(3), t.Context()
 		k, other := New(p), New(p)
-		ticket, err := k.Begin(ctx, "wanjiru", "secret", "f")
-		must.NoError(t, err)
+		var ticket Ticket
+		var refused atomic.Int64
+		var g sync.WaitGroup
+		for range 5 {
+			g.Go(func() {
+				got, err := k.Begin(ctx, "wanjiru", "secret", "f")
+				if err == nil {
+					ticket = got
+				} else if fault.Is(err, Open) {
+					refused.Add(1)
+				}
+			})
+		}
+		g.Wait()
+		must.EqOp(t, 4, refused.Load())
 		for _, name := range p.names() {
 			must.False(t, strings.Contains(name, "secret") || strings.Contains(name, "wanjiru"))
 		}
-		_, err = k.Begin(ctx, "wanjiru", "secret", "f")
-		must.True(t, fault.Is(err, Open))
 		must.EqOp(t, 1, p.Calls().Put)
-		_, err = other.Begin(ctx, "wanjiru", "secret", "f")
+		_, err := other.Begin(ctx, "wanjiru", "secret", "f")
 		must.True(t, fault.Is(err, Open))
 		_, err = other.Begin(ctx, "wanjiru", "secret", "g")
 		must.True(t, fault.Is(err, Mismatch))
