--- a/model/verdict.go
+++ b/model/verdict.go
@@ -17,9 +17,13 @@
 	FindSlow Finding = "slow"
 	// FindDraining marks a target that says it is leaving.
 	FindDraining Finding = "draining"
+	// FindSuspect marks a target with some evidence against it. It is not
+	// ejected: repeatable requests are sent to it more often, to decide sooner.
+	FindSuspect Finding = "suspect"
 )
 
-// Verdict asks daemons to send no new work to a target.
+// Verdict tells daemons how to treat a target: to send it no new work, unless
+// the finding says otherwise.
 type Verdict struct {
 	Target   TargetID `json:"target"             cbor:"1,keyasint"`
 	Domain   Domain   `json:"domain,omitempty"   cbor:"2,keyasint,omitempty"` // daemons concerned; empty: all
@@ -66,7 +70,7 @@
 		return fault.Invalid("verdict", "has no target", "run the same release on all daemons")
 	}
 	switch v.Finding {
-	case FindFailing, FindSlow, FindDraining:
+	case FindFailing, FindSlow, FindDraining, FindSuspect:
 	default:
 		return fault.Invalid(field("verdict", string(v.Target), "finding"), fmt.Sprintf("%q is unknown", v.Finding), "run the same release on all daemons")
 	}
--- a/pick/floor.go
+++ b/pick/floor.go
@@ -25,6 +25,7 @@
 	seq      uint64
 	heard    time.Time
 	verdicts map[model.TargetID]model.Verdict
+	suspects map[model.TargetID]bool
 	grade    []graded // reused by honour
 }
 
@@ -43,7 +44,12 @@
 	}
 	q.judge, q.run, q.seq, q.heard = set.Judge, set.Run, set.Seq, now
 	q.verdicts = make(map[model.TargetID]model.Verdict, len(set.List))
+	q.suspects = make(map[model.TargetID]bool)
 	for _, v := range set.List {
+		if v.Finding == model.FindSuspect {
+			q.suspects[v.Target] = true
+			continue
+		}
 		if v.Domain != "" && v.Domain != q.self.Domain {
 			continue
 		}
@@ -79,7 +85,8 @@
 func (q *pool) expire(now time.Time) {
 	if end := q.heard.Add(verdictLife); !now.Before(end) {
 		clear(q.verdicts)
-	} else if len(q.verdicts) > 0 {
+		clear(q.suspects)
+	} else if len(q.verdicts)+len(q.suspects) > 0 {
 		q.wake(end)
 	}
 }
--- a/pick/picker.go
+++ b/pick/picker.go
@@ -31,6 +31,7 @@
 	Deadline time.Time        // the caller's; zero: none
 	Tried    []model.TargetID // not chosen again
 	Domains  []model.Domain   // tried failure domains; others come first
+	Repeat   bool             // may be sent again, and so to a suspect target
 }
 
 // Result classifies how a request to a target ended.
--- a/pick/pool.go
+++ b/pick/pool.go
@@ -16,6 +16,11 @@
 	spillShare = 0.1
 	// spillSaved bounds the requests that may go to other regions in a row.
 	spillSaved = 10
+	// suspectExtra is the additional load of a suspect target, in fair parts.
+	suspectExtra = 3
+	// suspectMost bounds its additional share of the requests: the judge needs
+	// answers of the other targets to compare with.
+	suspectMost = 0.6
 	// drawTries is the number of random draws for one of the two choices
 	// before all targets are compared.
 	drawTries = 4
@@ -34,6 +39,7 @@
 	byID    map[model.TargetID]*target
 	home    []*target // open targets of the own region
 	away    []*target // open targets of other regions
+	doubt   []*target // open targets of the own region that are suspect
 	lone    bool      // the own region has no open target: away is used without a cap
 	credit  float64   // requests that may go to other regions
 	flight  int
@@ -104,7 +110,7 @@
 	q.recheck = time.Time{}
 	q.expire(now)
 	q.honour(now)
-	q.home, q.away, q.lone = q.home[:0], q.away[:0], true
+	q.home, q.away, q.doubt, q.lone = q.home[:0], q.away[:0], q.doubt[:0], true
 	for _, t := range q.targets {
 		if !t.member {
 			continue
@@ -120,6 +126,9 @@
 		case t.out || t.closed(now):
 		case near:
 			q.home = append(q.home, t)
+			if q.suspects[t.conf.ID] {
+				q.doubt = append(q.doubt, t)
+			}
 		default:
 			q.away = append(q.away, t)
 		}
@@ -169,6 +178,9 @@
 			return t, false
 		}
 	}
+	if t := q.confirm(need, now); t != nil {
+		return t, false
+	}
 	if t := q.draw(q.home, need, now, false); t != nil {
 		return t, false
 	}
@@ -181,6 +193,19 @@
 	return q.draw(q.away, need, now, false), true
 }
 
+// confirm sends a part of the repeatable requests to a suspect target, so that
+// it gets several times its fair part and the judge can decide sooner.
+func (q *pool) confirm(need *Need, now time.Time) *target {
+	if len(q.doubt) == 0 || !need.Repeat || q.random.Float64() >= min(suspectMost, suspectExtra/float64(len(q.home))) {
+		return nil
+	}
+	t := q.doubt[q.random.IntN(len(q.doubt))]
+	if !usable(t, need, now, true) {
+		return nil
+	}
+	return t
+}
+
 // draw returns the better of two random targets, or the best of all if the
 // draws find none that is usable.
 func (q *pool) draw(list []*target, need *Need, now time.Time, strict bool) *target {
--- /dev/null
+++ b/report/report.go
@@ -0,0 +1,157 @@
+// Package report counts the answers that one daemon receives, as evidence on
+// its targets, and defines the reports in which the counts travel to the judge
+// of the pool.
+//
+// An answer is slow if it took longer than three times the running median of
+// its route in this daemon. Reports go out once a second, and sooner after a
+// failure or a slow answer.
+//
+// # Usage
+//
+//	c := report.NewCollector(report.Reporter{Host: "h1", Domain: "south-1"}, run)
+//	c.Record(report.Sample{Pool: "orders", Target: "t1", Customer: "acme",
+//		Route: "proofs", Kind: report.Whole, Latency: took})
+//	...
+//	for _, r := range c.Flush() { // once a second, and c.Urgent() on <-c.Wake()
+//		data, err := r.Encode()
+//		...
+//	}
+package report
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"rhubarbdrift.example/fault"
+	"rhubarbdrift.example/model"
+)
+
+// Kind classifies one answer as evidence on its target.
+type Kind uint8
+
+// The values of Kind.
+const (
+	// Whole is a complete answer. Its latency counts.
+	Whole Kind = iota
+	// Failed is an answer that says the target failed.
+	Failed
+	// Broken is an answer that was cut off.
+	Broken
+	// Silent is a request without any answer.
+	Silent
+	// Shed is a refusal for too much work. It is no evidence of a fault.
+	Shed
+	// Draining is an answer that says the target is leaving.
+	Draining
+)
+
+// Sample is one answer.
+type Sample struct {
+	Pool     model.PoolID
+	Target   model.TargetID
+	Customer model.CustomerID // empty on open routes
+	Route    model.RouteID
+	Kind     Kind
+	Latency  time.Duration // of a whole answer
+}
+
+// Reporter names the daemon that reports.
+type Reporter struct {
+	Host   model.HostID `cbor:"1,keyasint"`
+	Domain model.Domain `cbor:"2,keyasint"`
+}
+
+// Report holds what one daemon counted on one pool since its last report.
+type Report struct {
+	Pool model.PoolID      `cbor:"1,keyasint"`
+	From Reporter          `cbor:"2,keyasint"`
+	Run  model.Incarnation `cbor:"3,keyasint,omitempty"`
+	Seq  uint64            `cbor:"4,keyasint"` // increases in one run
+	Rows []Row             `cbor:"5,keyasint"`
+}
+
+// Row counts the answers of one target.
+type Row struct {
+	Target   model.TargetID `cbor:"1,keyasint"`
+	Answers  int            `cbor:"2,keyasint,omitempty"` // whole and failed
+	Failed   int            `cbor:"3,keyasint,omitempty"`
+	Broken   int            `cbor:"4,keyasint,omitempty"`
+	Silent   int            `cbor:"5,keyasint,omitempty"`
+	Slow     int            `cbor:"6,keyasint,omitempty"`
+	Draining int            `cbor:"7,keyasint,omitempty"`
+	Failures []Tally        `cbor:"8,keyasint,omitempty"` // by customer
+}
+
+// Tally counts the failures of one customer.
+type Tally struct {
+	Customer model.CustomerID `cbor:"1,keyasint"`
+	Count    int              `cbor:"2,keyasint"`
+}
+
+// Bad returns the failures of all kinds.
+func (r *Row) Bad() int { return r.Failed + r.Broken + r.Silent }
+
+const (
+	// maxRows bounds the lists of a report that comes from another daemon.
+	maxRows = 4096
+	// maxCount bounds its counts.
+	maxCount = 1 << 24
+)
+
+// Encode returns the report in CBOR.
+func (r *Report) Encode() ([]byte, error) { return cbor.Marshal(r) }
+
+// Decode decodes a report and checks it.
+func Decode(data []byte) (*Report, error) {
+	r := new(Report)
+	if err := cbor.Unmarshal(data, r); err != nil {
+		return nil, fault.Wrap(fault.KindInvalid, err, "the report is no valid CBOR", "run the same release on all daemons")
+	}
+	if err := r.Check(); err != nil {
+		return nil, err
+	}
+	return r, nil
+}
+
+// Check reports the first mistake in the report.
+func (r *Report) Check() error {
+	if r.Pool == "" || r.From.Host == "" {
+		return invalid("report", "has no pool or no sender")
+	}
+	if len(r.Rows) > maxRows {
+		return invalid("report on pool "+string(r.Pool), fmt.Sprintf("has more than %d rows", maxRows))
+	}
+	for i := range r.Rows {
+		if err := r.Rows[i].check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Row) check() error {
+	name := "report row of target " + string(r.Target)
+	if r.Target == "" || len(r.Failures) > maxRows {
+		return invalid(name, fmt.Sprintf("has no target or more than %d tallies", maxRows))
+	}
+	for _, n := range []int{r.Answers, r.Failed, r.Broken, r.Silent, r.Slow, r.Draining} {
+		if n < 0 || n > maxCount {
+			return invalid(name, "has a count out of range")
+		}
+	}
+	if r.Bad()+r.Slow > r.Answers {
+		return invalid(name, "counts more failed and slow answers than answers")
+	}
+	for _, t := range r.Failures {
+		if t.Count < 0 || t.Count > maxCount {
+			return invalid("tally of customer "+string(t.Customer), "has a count out of range")
+		}
+	}
+	return nil
+}
+
+func invalid(field, problem string) error {
+	return fault.Invalid(field, problem, "run the same release on all daemons")
+}
--- /dev/null
+++ b/report/report_test.go
@@ -0,0 +1,76 @@
+package report
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"rhubarbdrift.example/fault"
+)
+
+func sample(k Kind, latency time.Duration) Sample {
+	return Sample{Pool: "p", Target: "t", Customer: "c", Route: "r", Kind: k, Latency: latency}
+}
+
+// TestCounts guards against answers that are lost, counted twice or reported
+// late, and against a report that changes on its way.
+func TestCounts(t *testing.T) {
+	c := NewCollector(Reporter{Host: "h", Domain: "d"}, "1")
+	for range 20 {
+		c.Record(sample(Whole, 40*time.Millisecond))
+	}
+	must.SliceEmpty(t, c.Urgent())
+	c.Record(sample(Whole, 400*time.Millisecond))
+	for _, k := range []Kind{Failed, Broken, Silent, Shed, Draining} {
+		c.Record(sample(k, 0))
+	}
+	<-c.Wake()
+	list := c.Urgent()
+	must.SliceLen(t, 1, list)
+	data, err := list[0].Encode()
+	must.NoError(t, err)
+	t.Logf("%d bytes", len(data))
+	got, err := Decode(data)
+	must.NoError(t, err)
+	must.Eq(t, &list[0], got)
+	must.Eq(t, Row{
+		Target: "t", Answers: 24, Failed: 1, Broken: 1, Silent: 1, Slow: 1, Draining: 1,
+		Failures: []Tally{{Customer: "c", Count: 3}},
+	}, got.Rows[0])
+	must.SliceEmpty(t, c.Flush())
+	c.Hurry("p", true)
+	c.Record(sample(Whole, 40*time.Millisecond))
+	<-c.Wake()
+	must.EqOp(t, 2, c.Urgent()[0].Seq)
+}
+
+// TestDecode guards against reports of a faulty daemon that are accepted.
+func TestDecode(t *testing.T) {
+	for _, r := range []Report{
+		{From: Reporter{Host: "h"}},
+		{Pool: "p"},
+		{Pool: "p", From: Reporter{Host: "h"}, Rows: []Row{{Answers: 1}}},
+		{Pool: "p", From: Reporter{Host: "h"}, Rows: []Row{{Target: "t", Answers: -1}}},
+		{Pool: "p", From: Reporter{Host: "h"}, Rows: []Row{{Target: "t", Answers: 1, Failed: 1, Slow: 1}}},
+		{Pool: "p", From: Reporter{Host: "h"}, Rows: []Row{{Target: "t", Failures: []Tally{{Count: -1}}}}},
+		{Pool: "p", From: Reporter{Host: "h"}, Rows: make([]Row, maxRows+1)},
+	} {
+		data, err := r.Encode()
+		must.NoError(t, err)
+		_, err = Decode(data)
+		must.EqOp(t, fault.KindInvalid, fault.KindOf(err))
+	}
+	_, err := Decode([]byte{0xff})
+	must.EqOp(t, fault.KindInvalid, fault.KindOf(err))
+}
+
+// TestAllocations guards against memory use for each answer.
+func TestAllocations(t *testing.T) {
+	c := NewCollector(Reporter{Host: "h", Domain: "d"}, "1")
+	n := testing.AllocsPerRun(1000, func() {
+		c.Record(sample(Whole, time.Millisecond))
+		c.Record(sample(Failed, 0))
+	})
+	must.EqOp(t, 0, n)
+}
