daemon: find the owner of a shard while the platform is gone

Change: if no daemon names an owner, the live members of the cell are asked which of them owns the shard.

--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -19,11 +20,14 @@
 )
 
 const (
-	methodTake = "quota.take"
-	methodWish = "quota.wish"
+	methodTake  = "quota.take"
+	methodWish  = "quota.wish"
+	methodHolds = "quota.holds"
 	// maxHops bounds how often a call follows the hint of a daemon that does not
 	// own the shard.
 	maxHops = 3
+	// searchTimeout bounds the search for an owner that no daemon names.
+	searchTimeout = 40 * time.Millisecond
 )
 
 // limits admits requests with the tokens of a wallet and answers for the
@@ -35,7 +39,7 @@
 	owner  *quota.Owner
 	keeper *lease.Keeper
 	find   *directory
-	member addressBook
+	cell   *cellView
 	peers  *wire.Pool
 
 	mu     sync.Mutex
@@ -48,11 +52,6 @@
 	shard  model.Shard
 }
 
-// addressBook gives the peer addresses of the cell's members.
-type addressBook interface {
-	Address(id model.HostID) (string, bool)
-}
-
 // Admit takes a token for one request of the customer.
 func (l *limits) Admit(ctx context.Context, c *model.Customer) (gate.Token, error) {
 	a, err := l.wallet.Admit(ctx, c)
@@ -76,7 +75,7 @@
 // Ask passes an ask to the owner of the shard in the region.
 func (l *limits) Ask(ctx context.Context, r model.Region, s model.Shard, t quota.Take) (quota.Grant, error) {
 	var grant quota.Grant
-	err := l.follow(place{r, s}, func(host model.HostID, address string) error {
+	err := l.follow(ctx, place{r, s}, func(host model.HostID, address string) error {
 		if host == l.self {
 			var err error
 			grant, err = l.owner.Take(ctx, t)
@@ -94,7 +93,7 @@
 
 // Wish passes a wish to the owner of its shard in another region.
 func (l *limits) Wish(ctx context.Context, to model.Region, w share.Wish) error {
-	return l.follow(place{to, w.Shard}, func(_ model.HostID, address string) error {
+	return l.follow(ctx, place{to, w.Shard}, func(_ model.HostID, address string) error {
 		a, err := wire.Call[share.Wish, quota.Answer](ctx, l.peers.Client(address), methodWish, &w)
 		if err != nil {
 			return err
@@ -105,17 +104,36 @@
 }
 
 // follow calls the owner of a shard, and again the host that a daemon names
-// which is not the owner.
-func (l *limits) follow(p place, call func(model.HostID, string) error) error {
+// which is not the owner. If no daemon names the owner, those of the cell are
+// asked, since the one that should know may have been restarted in an outage.
+func (l *limits) follow(ctx context.Context, p place, call func(model.HostID, string) error) error {
+	host, err := l.chase(p, call)
+	if !fault.Is(err, quota.NotOwner) || p.region != l.region {
+		return err
+	}
+	found, ok := l.search(ctx, p.shard)
+	if !ok || found == host {
+		return err
+	}
+	l.learn(p, found)
+	address, ok := l.address(found)
+	if !ok {
+		return err
+	}
+	return call(found, address)
+}
+
+// chase follows the hints and returns the last host that it called.
+func (l *limits) chase(p place, call func(model.HostID, string) error) (model.HostID, error) {
 	host, ok := l.ownerOf(p)
+	if !ok {
+		return "", quota.Unreached(fault.New(fault.Missing, "no host of region "+string(p.region)+" is known", "check the platform's host list"))
+	}
 	var err error
 	for range maxHops {
-		if !ok {
-			return quota.Unreached(fault.New(fault.Missing, "no host of region "+string(p.region)+" is known", "check the platform's host list"))
-		}
 		address, known := l.address(host)
 		if !known {
-			return quota.Unreached(fault.New(fault.Missing, "the address of host "+string(host)+" is not known", "check the platform's host list"))
+			return host, quota.Unreached(fault.New(fault.Missing, "the address of host "+string(host)+" is not known", "check the platform's host list"))
 		}
 		err = call(host, address)
 		hint := quota.OwnerOf(err)
@@ -128,14 +146,60 @@
 	if err != nil && !fault.Is(err, fault.Limited) {
 		l.forget(p)
 	}
-	return err
+	return host, err
+}
+
+// holds is the question whether a daemon owns a shard.
+type holds struct {
+	Shard model.Shard `cbor:"1,keyasint"`
+}
+
+// held is the answer.
+type held struct {
+	Yes bool `cbor:"1,keyasint"`
+}
+
+// search asks the live members of the cell which of them owns the shard.
+func (l *limits) search(ctx context.Context, s model.Shard) (model.HostID, bool) {
+	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
+	defer cancel()
+	found := make(chan model.HostID, 1)
+	var g errgroup.Group
+	for _, id := range l.cell.Live() {
+		address, ok := l.cell.Address(id)
+		if id == l.self || !ok {
+			continue
+		}
+		g.Go(func() error {
+			a, err := wire.Call[holds, held](ctx, l.peers.Client(address), methodHolds, &holds{s})
+			if err == nil && a.Yes {
+				select {
+				case found <- id:
+				default:
+				}
+			}
+			return nil
+		})
+	}
+	_ = g.Wait()
+	select {
+	case id := <-found:
+		return id, true
+	default:
+		return "", false
+	}
+}
+
+// holdsShard answers another daemon's question whether this one owns a shard.
+func (l *limits) holdsShard(_ context.Context, q *holds) (*held, error) {
+	return &held{Yes: l.keeper.Holds(q.Shard)}, nil
 }
 
 func (l *limits) address(host model.HostID) (string, bool) {
 	if host == l.self {
 		return "", true
 	}
-	if a, ok := l.member.Address(host); ok {
+	if a, ok := l.cell.Address(host); ok {
 		return a, true
 	}
 	return l.find.Address(host)
@@ -203,13 +267,14 @@
 	s := d.settings
 	l := &limits{
 		self: s.Host, region: s.Region, keeper: keeper, peers: d.state.peers,
-		find: d.state.directory, member: d.state.cell, remote: make(map[place]model.HostID),
+		find: d.state.directory, cell: d.state.cell, remote: make(map[place]model.HostID),
 	}
 	l.owner = quota.NewOwner(s.Region, s.Regions, keeper, d.customer, platform, l, quota.WithOwnerShards(s.Shards))
 	origin := quota.Origin{Host: s.Host, Incarnation: d.incarnation, Region: s.Region}
 	l.wallet = wallet.New(origin, s.Regions, l, wallet.WithShards(s.Shards))
 	wire.Handle(server, methodTake, l.take)
 	wire.Handle(server, methodWish, l.wish)
+	wire.Handle(server, methodHolds, l.holdsShard)
 	return kern.Provide(d.kernel, nameLimits, l)
 }
 
