--- /dev/null
+++ b/daemon/build.go
@@ -0,0 +1,168 @@
+package daemon
+
+import (
+	"sync/atomic"
+
+	"rhubarbdrift.example/admin"
+	"rhubarbdrift.example/conf"
+	"rhubarbdrift.example/exch"
+	"rhubarbdrift.example/gate"
+	"rhubarbdrift.example/kern"
+	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/pick"
+	"rhubarbdrift.example/plan"
+	"rhubarbdrift.example/queue"
+	"rhubarbdrift.example/store"
+	"rhubarbdrift.example/wire"
+)
+
+// The names under which the services are registered.
+const (
+	nameStore    = "store"
+	nameHosts    = "hosts"
+	nameWire     = "wire"
+	namePeers    = "peers"
+	nameCell     = "cell"
+	nameFeed     = "feed"
+	nameLease    = "lease"
+	nameHandover = "handover"
+	nameClaims   = "claims"
+	nameExchange = "exchange"
+	namePicker   = "picker"
+	nameQueues   = "queues"
+	nameLimits   = "limits"
+	nameGate     = "gate"
+	nameCallers  = "callers"
+	nameAdmin    = "admin"
+)
+
+// state is what several services of the daemon share.
+type state struct {
+	store     store.Store
+	holder    *conf.Holder
+	directory *directory
+	peers     *wire.Pool
+	counters  *wire.Counters
+	cell      *cellView
+	stopping  atomic.Bool
+}
+
+// build registers all services in the order in which they depend on each other.
+func (d *Daemon) build() error {
+	d.state.holder = conf.NewHolder()
+	steps := []func() error{
+		d.buildStore,
+		d.buildWire,
+		d.buildCell,
+		d.buildLease,
+		d.buildPicker,
+		d.buildQueues,
+		d.buildLimits,
+		d.buildClaims,
+		d.buildGate,
+		d.buildAdmin,
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) buildStore() error {
+	client := store.NewClient(d.settings.Platform)
+	if err := kern.Provide[store.Store](d.kernel, nameStore, client); err != nil {
+		return err
+	}
+	d.state.store = client
+	d.state.directory = newDirectory(client, d.log)
+	return kern.Provide(d.kernel, nameHosts, d.state.directory)
+}
+
+func (d *Daemon) buildWire() error {
+	d.state.counters = wire.NewCounters()
+	d.state.peers = wire.NewPool(wire.WithCounters(d.state.counters))
+	server := wire.NewServer(wire.WithCounters(d.state.counters))
+	if err := kern.Provide(d.kernel, nameWire, server); err != nil {
+		return err
+	}
+	return kern.Provide(d.kernel, namePeers, &peerListener{address: d.settings.Listen.Peers, server: server, log: d.log})
+}
+
+// poolsOf returns the pools of a snapshot.
+func poolsOf(s *conf.Snapshot) []*model.Pool {
+	in := s.Intent()
+	list := make([]*model.Pool, len(in.Pools))
+	for i := range in.Pools {
+		list[i] = &in.Pools[i]
+	}
+	return list
+}
+
+func (d *Daemon) buildPicker() error {
+	x := exch.New()
+	if err := kern.Provide(d.kernel, nameExchange, x); err != nil {
+		return err
+	}
+	p := pick.New(d.self())
+	d.state.holder.Subscribe(func(s *conf.Snapshot) { p.Update(poolsOf(s), []pick.Daemon{d.self()}) })
+	return kern.Provide(d.kernel, namePicker, p)
+}
+
+func (d *Daemon) self() pick.Daemon {
+	return pick.Daemon{Host: d.settings.Host, Region: d.settings.Region, Domain: d.settings.Domain}
+}
+
+func (d *Daemon) buildGate() error {
+	picker, err := kern.Find[*pick.Picker](d.kernel, namePicker)
+	if err != nil {
+		return err
+	}
+	exchange, err := kern.Find[*exch.Client](d.kernel, nameExchange)
+	if err != nil {
+		return err
+	}
+	limits, err := kern.Find[*limits](d.kernel, nameLimits)
+	if err != nil {
+		return err
+	}
+	claims, err := kern.Find[*claims](d.kernel, nameClaims)
+	if err != nil {
+		return err
+	}
+	queues, err := kern.Find[*queue.Set](d.kernel, nameQueues)
+	if err != nil {
+		return err
+	}
+	g := gate.New(gate.Parts{
+		Snapshot: d.snapshot,
+		Fresh:    d.fresh,
+		Limiter:  limits,
+		Claims:   claims,
+		Queues:   queues,
+		Picker:   picker,
+		Exchange: exchange,
+		Observe:  func(gate.Sample) {},
+	}, gate.WithLog(d.log), gate.WithMeter(d.meter.Scope()), gate.WithConnections(d.settings.Connections))
+	if err := kern.Provide(d.kernel, nameGate, g); err != nil {
+		return err
+	}
+	return kern.Provide(d.kernel, nameCallers, &listener{
+		name: nameCallers, address: d.settings.Listen.Callers, server: g.Server(), log: d.log, wait: g.Wait,
+	})
+}
+
+func (d *Daemon) buildAdmin() error {
+	platform, err := kern.Find[store.Store](d.kernel, nameStore)
+	if err != nil {
+		return err
+	}
+	a := admin.New(plan.New(platform), d,
+		admin.WithOperators(d.settings.Operators),
+		admin.WithMetrics(d.meter.Handler()),
+		admin.WithLog(d.log))
+	return kern.Provide(d.kernel, nameAdmin, &listener{
+		name: nameAdmin, address: d.settings.Listen.Admin, server: a.Server(), log: d.log,
+	})
+}
