daemon: connect evidence, judges and probes

Cause: nothing collected what daemons learn about targets, so no target was ejected, and each daemon took the targets' slots for its own. Change: reports to the judge of each pool, verdict sets to the cell, health probes of ejected targets, verdicts with their evidence in the status, one log line per ejection and return; the picker shares the targets' slots among the daemons of the host list.

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -27,6 +27,8 @@
 	nameLease    = "lease"
 	nameHandover = "handover"
 	nameClaims   = "claims"
+	nameEvidence = "evidence"
+	nameProbes   = "probes"
 	nameExchange = "exchange"
 	namePicker   = "picker"
 	nameQueues   = "queues"
@@ -44,6 +46,7 @@
 	peers     *wire.Pool
 	counters  *wire.Counters
 	cell      *cellView
+	evidence  *evidence
 	stopping  atomic.Bool
 }
 
@@ -56,6 +59,7 @@
 		d.buildCell,
 		d.buildLease,
 		d.buildPicker,
+		d.buildEvidence,
 		d.buildQueues,
 		d.buildLimits,
 		d.buildClaims,
@@ -106,10 +110,27 @@
 		return err
 	}
 	p := pick.New(d.self())
-	d.state.holder.Subscribe(func(s *conf.Snapshot) { p.Update(poolsOf(s), []pick.Daemon{d.self()}) })
+	update := func() {
+		if c := d.snapshot(); c != nil {
+			p.Update(poolsOf(c), d.fleet())
+		}
+	}
+	d.state.holder.Subscribe(func(*conf.Snapshot) { update() })
+	d.state.directory.changed = update
 	return kern.Provide(d.kernel, namePicker, p)
 }
 
+// fleet returns the daemons among which the targets' slots are shared.
+func (d *Daemon) fleet() []pick.Daemon {
+	list := []pick.Daemon{d.self()}
+	for _, h := range d.state.directory.Hosts() {
+		if h.ID != d.settings.Host && !h.Leaving {
+			list = append(list, pick.Daemon{Host: h.ID, Region: h.Region, Domain: h.Domain})
+		}
+	}
+	return list
+}
+
 func (d *Daemon) self() pick.Daemon {
 	return pick.Daemon{Host: d.settings.Host, Region: d.settings.Region, Domain: d.settings.Domain}
 }
@@ -143,7 +164,7 @@
 		Queues:   queues,
 		Picker:   picker,
 		Exchange: exchange,
-		Observe:  func(gate.Sample) {},
+		Observe:  d.state.evidence.observe,
 	}, gate.WithLog(d.log), gate.WithMeter(d.meter.Scope()), gate.WithConnections(d.settings.Connections))
 	if err := kern.Provide(d.kernel, nameGate, g); err != nil {
 		return err
--- a/daemon/direct.go
+++ b/daemon/direct.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,8 +26,9 @@
 // directory knows the regions and addresses of the fleet's daemons from the
 // platform's lagging host list. It keeps the last list during an outage.
 type directory struct {
-	store store.Store
-	log   zerolog.Logger
+	store   store.Store
+	log     zerolog.Logger
+	changed func() // called after each reading that changed the list
 
 	mu      sync.RWMutex
 	hosts   map[model.HostID]store.Host
@@ -67,11 +71,24 @@
 		}
 	}
 	d.mu.Lock()
-	defer d.mu.Unlock()
+	same := maps.Equal(d.hosts, hosts)
 	d.hosts, d.regions = hosts, regions
+	d.mu.Unlock()
+	if !same && d.changed != nil {
+		d.changed()
+	}
 	return nil
 }
 
+// Hosts returns the last list in the order of the ids.
+func (d *directory) Hosts() []store.Host {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	list := slices.Collect(maps.Values(d.hosts))
+	slices.SortFunc(list, func(a, b store.Host) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return list
+}
+
 // Address returns the peer address of a host.
 func (d *directory) Address(id model.HostID) (string, bool) {
 	d.mu.RLock()
@@ -100,10 +117,3 @@
 	}
 	return best, best != ""
 }
-
-// Count returns the number of hosts of the fleet, at least 1.
-func (d *directory) Count() int {
-	d.mu.RLock()
-	defer d.mu.RUnlock()
-	return max(1, len(d.hosts))
-}
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"rhubarbdrift.example/admin"
@@ -61,14 +62,23 @@
 	var list []admin.TargetStatus
 	for _, pool := range d.Intent().Pools {
 		for _, t := range p.Status(pool.ID) {
-			list = append(list, admin.TargetStatus{
-				Pool: pool.ID, Target: t.Target, Running: t.Flight, Verdict: verdictOf(t),
-			})
+			list = append(list, d.target(pool.ID, t))
 		}
 	}
 	return list
 }
 
+func (d *Daemon) target(pool model.PoolID, t pick.Status) admin.TargetStatus {
+	status := admin.TargetStatus{Pool: pool, Target: t.Target, Running: t.Flight, Verdict: verdictOf(t)}
+	v, ok := d.state.evidence.verdict(pool, t.Target)
+	if !ok {
+		return status
+	}
+	status.Scope = string(v.Domain)
+	status.Evidence = fmt.Sprintf("%s answers=%d bad=%d base=%.3f score=%.1f", v.Finding, v.Answers, v.Bad, v.Base, v.Score)
+	return status
+}
+
 func verdictOf(t pick.Status) string {
 	switch {
 	case t.Draining:
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -132,11 +132,12 @@
 pids+=("$!")
 "$program" load --plan "$work/load.json" >"$work/table.out" &
 table=$!
-ejected() { "$program" status --admin "$1" | grep -E '^ledger-1 ' | grep -qE 'slow|failing'; }
-if await 6 ejected 127.0.0.1:18082; then seen "the slow target ledger-1 is ejected although its health endpoint says good"; else missed "ejection of ledger-1"; fi
+ejected() { "$program" status --admin "$1" >"$work/status.out" && grep -qE "^ledger-1 .*(slow|failing) answers" "$work/status.out"; }
+if await 8 ejected 127.0.0.1:18082; then seen "the slow target ledger-1 is ejected although its health endpoint says good"; else missed "ejection of ledger-1"; fi
 if wait "$table"; then seen "every whole answer was the caller's own"; else missed "own answers"; fi
 curl -s -o /dev/null -X PUT -d '{}' http://127.0.0.1:19101/control
 cat "$work/table.out"
+grep -hE 'event="target (ejected|returns)"' "$work"/entry*.log || true
 # column CUSTOMER NAME prints a cell of the load table.
 column() { awk -v c="$1" -v n="$2" 'NR == 1 { for (i = 1; i <= NF; i++) at[$i] = i } $1 == c { print $at[n] }' "$work/table.out"; }
 served=$(($(column depots whole) + $(column bakers whole) + $(column kiosks whole)))
--- a/gate/run.go
+++ b/gate/run.go
@@ -54,7 +54,7 @@
 }
 
 func (c *call) need() pick.Need {
-	return pick.Need{Pool: c.pool.ID, Deadline: c.deadline, Tried: c.tried, Domains: c.domains}
+	return pick.Need{Pool: c.pool.ID, Deadline: c.deadline, Tried: c.tried, Domains: c.domains, Repeat: c.repeatable()}
 }
 
 // acquire waits for the pool's queue and a target with a free slot. The place
