bench, cmds: measure what one daemon adds to a request

Cause: the 1.6 ms that the fleet may add at p99 had no measurement.

Change: the command bench starts a daemon and stand-in targets as processes, with 3,700 routes, 26,000 customers and 7,900 targets, and compares latency through the daemon with direct calls in alternating rounds. It also reports the daemon's processor time and memory. make bench runs it and the Go benchmarks of admission, queue, target choice and exchange.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets are run by developers and CI alike. See README.md.
-.PHONY: all build demo fmt lint vet unit test
+.PHONY: all bench build demo fmt lint vet unit test
 
 LINT = go tool -modfile=tools/go.mod golangci-lint
 
@@ -8,6 +8,10 @@
 build:
 	go build -o bin/rhubarbdrift .
 
+bench: build
+	go test -run NONE -bench . -benchtime 1s ./queue ./pick ./wallet ./exch
+	bin/rhubarbdrift bench
+
 demo: build
 	demo/run.sh
 
--- /dev/null
+++ b/bench/tables.go
@@ -0,0 +1,81 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+
+	"rhubarbdrift.example/conf"
+	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/store"
+)
+
+// The table sizes of the fleet in two years (docs/design.md, 1.6).
+const (
+	routes    = 3700
+	customers = 26000
+	instances = 7900
+	services  = 200
+)
+
+const (
+	// callers is the number of customers that send requests.
+	callers = 32
+	// size is the length of a response body in bytes.
+	size = 1024
+	// slots of each stand-in target, enough that none of them sheds load.
+	slots = 256
+	// path is that of a route of the first pool, whose targets are stand-ins.
+	path = "/service-0/part-9"
+	// region and domain of the daemon and the stand-ins.
+	region model.Region = "north"
+	domain model.Domain = "north-a"
+)
+
+func keyOf(customer int) string { return fmt.Sprintf("bench-key-%d", customer) }
+
+func customerID(n int) model.CustomerID { return model.CustomerID(fmt.Sprintf("customer-%d", n)) }
+
+// tables returns a configuration of the full size. Only the first pool has
+// targets that exist; no request goes to the others.
+func tables(addresses []string) *model.Intent {
+	in := new(model.Intent)
+	for i := range customers {
+		in.Customers = append(in.Customers, model.Customer{
+			ID: customerID(i), Rate: 1000, Burst: 1000, Weight: 1,
+			Keys: []model.Key{{ID: "k1", Digest: model.DigestOf([]byte(keyOf(i)))}},
+		})
+	}
+	for i := range services {
+		in.Pools = append(in.Pools, model.Pool{ID: model.PoolID(fmt.Sprintf("service-%d", i)), Floor: 0.6})
+	}
+	for i := range instances - len(addresses) {
+		p := &in.Pools[1+i%(services-1)]
+		p.Targets = append(p.Targets, model.Target{
+			ID: model.TargetID(fmt.Sprintf("target-%d", i)), Address: fmt.Sprintf("127.%d.%d.1:9000", 1+i/250, i%250),
+			Region: region, Domain: domain, Slots: 6,
+		})
+	}
+	for i, a := range addresses {
+		in.Pools[0].Targets = append(in.Pools[0].Targets, model.Target{
+			ID: model.TargetID(fmt.Sprintf("real-%d", i)), Address: a, Region: region, Domain: domain, Slots: slots,
+		})
+	}
+	for i := range routes {
+		in.Routes = append(in.Routes, model.Route{
+			ID: model.RouteID(fmt.Sprintf("route-%d", i)), Prefix: fmt.Sprintf("/service-%d/part-%d", i%services, i/services),
+			Pool: in.Pools[i%services].ID, Deadline: 10_000,
+		})
+	}
+	return in
+}
+
+// commit writes the tables to the platform.
+func commit(ctx context.Context, s store.Store, in *model.Intent) error {
+	audit := []byte("bench")
+	root, chunks, err := conf.Build(in, 1, model.DigestOf(audit), "bench")
+	if err != nil {
+		return err
+	}
+	_, err = conf.Commit(ctx, s, 0, root, chunks, audit)
+	return err
+}
