--- a/daemon/build.go
+++ b/daemon/build.go
@@ -36,6 +36,7 @@
 	nameGate     = "gate"
 	nameCallers  = "callers"
 	nameAdmin    = "admin"
+	nameGauges   = "gauges"
 )
 
 // state is what several services of the daemon share.
@@ -65,6 +66,7 @@
 		d.buildClaims,
 		d.buildGate,
 		d.buildAdmin,
+		d.buildGauges,
 	}
 	for _, step := range steps {
 		if err := step(); err != nil {
--- /dev/null
+++ b/daemon/gauge.go
@@ -0,0 +1,62 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"rhubarbdrift.example/kern"
+	"rhubarbdrift.example/lease"
+)
+
+// gaugeInterval is the time between two updates of the gauges.
+const gaugeInterval = time.Second
+
+// gauges publishes the state of the daemon as metrics.
+type gauges struct {
+	daemon *Daemon
+	leases *lease.Keeper
+	scope  tally.Scope
+}
+
+// Run updates the gauges until ctx ends.
+func (g *gauges) Run(ctx context.Context) error {
+	t := time.NewTicker(gaugeInterval)
+	defer t.Stop()
+	for {
+		g.update()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+	}
+}
+
+func (g *gauges) update() {
+	sent, received := g.daemon.state.counters.Bytes()
+	g.scope.Gauge("control_sent_bytes").Update(float64(sent))
+	g.scope.Gauge("control_received_bytes").Update(float64(received))
+	g.scope.Gauge("fresh").Update(flag(g.daemon.fresh()))
+	g.scope.Gauge("shards").Update(float64(len(g.leases.Held())))
+	if s := g.daemon.snapshot(); s != nil {
+		g.scope.Gauge("version").Update(float64(s.Version()))
+		g.scope.Gauge("accepted").Update(flag(g.daemon.state.cell.member.Accepted(s.Version())))
+	}
+}
+
+func flag(set bool) float64 {
+	if set {
+		return 1
+	}
+	return 0
+}
+
+func (d *Daemon) buildGauges() error {
+	k, err := kern.Find[*lease.Keeper](d.kernel, nameLease)
+	if err != nil {
+		return err
+	}
+	return kern.Provide(d.kernel, nameGauges, &gauges{daemon: d, leases: k, scope: d.meter.Scope()})
+}
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rhubarbdrift.example/admin"
+	"rhubarbdrift.example/gate"
 	"rhubarbdrift.example/kern"
 	"rhubarbdrift.example/lease"
 	"rhubarbdrift.example/model"
@@ -93,9 +94,16 @@
 }
 
 func (d *Daemon) customers() []admin.CustomerStatus {
+	g, err := kern.Find[*gate.Gate](d.kernel, nameGate)
+	if err != nil {
+		return nil
+	}
 	var list []admin.CustomerStatus
 	for _, c := range d.Intent().Customers {
-		list = append(list, admin.CustomerStatus{Customer: c.ID, Rate: c.Rate, Burst: c.Burst})
+		use := g.Use(c.ID)
+		list = append(list, admin.CustomerStatus{
+			Customer: c.ID, Rate: c.Rate, Burst: c.Burst, Admitted: use.Admitted, Refused: use.Refused,
+		})
 	}
 	return list
 }
--- a/gate/call.go
+++ b/gate/call.go
@@ -167,9 +167,11 @@
 	token, err := c.gate.parts.Limiter.Admit(ctx, c.customer)
 	if err == nil {
 		c.token = token
+		c.gate.usages.of(c.customer.ID).admitted.Add(1)
 		return nil
 	}
 	if fault.Is(err, fault.Limited) {
+		c.gate.usages.of(c.customer.ID).refused.Add(1)
 		return refusal(KindLimit, NotRun, "the customer is above its rate and burst", "slow down").after(waitOf(err))
 	}
 	return refusal(KindBusy, NotRun, "the customer's limit could not be checked", "retry").after(limitRetry)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -29,6 +29,7 @@
 type Gate struct {
 	parts    Parts
 	budget   *budget
+	usages   usages
 	log      zerolog.Logger
 	counters counters
 	limit    int // caller connections
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -37,6 +37,7 @@
 	places  atomic.Int64 // given by the queue and not given back
 	mu      sync.Mutex
 	seen    []string // headers that the target received
+	samples chan Sample
 }
 
 // fakeClaims records claims in memory.
@@ -92,6 +93,13 @@
 func (freeToken) Valid() bool { return true }
 func (freeToken) Cancel()     {}
 
+func (r *rig) observe(s Sample) {
+	select {
+	case r.samples <- s:
+	default:
+	}
+}
+
 func (r *rig) Admit(context.Context, *model.Customer) (Token, error) { return freeToken{}, nil }
 
 func (r *rig) Enter(context.Context, model.PoolID, *model.Customer, time.Time) (func(), error) {
@@ -120,7 +128,7 @@
 
 func newRig(t *testing.T, target fasthttp.RequestHandler) *rig {
 	t.Helper()
-	r := &rig{holder: conf.NewHolder()}
+	r := &rig{holder: conf.NewHolder(), samples: make(chan Sample, 1)}
 	r.claims.states = make(map[string]string)
 	r.fresh.Store(true)
 	address := listen(t, &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
@@ -140,7 +148,7 @@
 	t.Cleanup(exchange.Close)
 	r.gate = New(Parts{
 		Snapshot: r.holder.Current, Fresh: r.fresh.Load, Limiter: r, Claims: &r.claims,
-		Queues: r, Picker: picker, Exchange: exchange, Observe: func(Sample) {},
+		Queues: r, Picker: picker, Exchange: exchange, Observe: r.observe,
 	})
 	r.address = listen(t, r.gate.Server())
 	t.Cleanup(func() { // each place was given back once
@@ -317,6 +325,25 @@
 	must.True(t, resp == nil && broken, must.Sprint("the caller took a truncated answer for a whole one"))
 }
 
+// TestStallIsEvidence guards against a target that stalls and gives no evidence
+// before the deadlines of its requests.
+func TestStallIsEvidence(t *testing.T) {
+	finish := make(chan struct{})
+	r := newRig(t, func(ctx *fasthttp.RequestCtx) {
+		<-finish
+		hello(ctx)
+	})
+	answers := make(chan *fasthttp.Response, 1)
+	go func() {
+		resp, _ := r.send(t, request("GET", "/weights", ""))
+		answers <- resp
+	}()
+	s := <-r.samples // before the answer, which comes after this
+	must.EqOp(t, exch.Silent, s.Outcome.Class)
+	close(finish)
+	must.EqOp(t, 200, (<-answers).StatusCode())
+}
+
 // TestDrain guards against a planned stop that cuts off a running request.
 func TestDrain(t *testing.T) {
 	started, finish := make(chan struct{}), make(chan struct{})
--- a/gate/run.go
+++ b/gate/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -14,6 +15,10 @@
 	"rhubarbdrift.example/quota"
 )
 
+// stallTime is the time without an answer after which a request counts as
+// evidence against its target. The deadline may be much later.
+const stallTime = time.Second
+
 // run sends the request to targets until one answers or the refusal is final.
 // The place in the pool is given back before claims are written.
 func (c *call) run() *Refusal {
@@ -115,16 +120,29 @@
 	defer fasthttp.ReleaseRequest(req)
 	c.prepare(req)
 	started := time.Now()
-	c.gate.begin()
 	c.users.Add(1)
+	c.gate.begin()
+	var stalled atomic.Bool
+	watch := time.AfterFunc(stallTime, func() {
+		stalled.Store(true)
+		c.observe(target.ID, exch.Outcome{Class: exch.Silent, Wait: stallTime}, stallTime)
+	})
 	ctx, cancel := context.WithDeadline(context.Background(), c.deadline)
-	return c.gate.parts.Exchange.Stream(ctx, target, req, &c.ctx.Response, func(end exch.Outcome) {
+	out := c.gate.parts.Exchange.Stream(ctx, target, req, &c.ctx.Response, func(end exch.Outcome) {
+		watch.Stop()
 		cancel()
 		hold.Done(resultOf(&end))
 		c.leave()
-		c.observe(target.ID, end, time.Since(started))
+		if end.Class == exch.Broken {
+			c.gate.counters.broken.Inc(1)
+		}
+		if !stalled.Load() {
+			c.observe(target.ID, end, time.Since(started))
+		}
 		c.gate.end()
 	})
+	watch.Stop()
+	return out
 }
 
 // prepare copies the request without what is not meant for the target.
