--- a/daemon/cell.go
+++ b/daemon/cell.go
@@ -118,8 +118,8 @@
 func (h handover) Stop(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	if err := h.keeper.Release(ctx); err != nil {
-		h.log.Warn().Err(err).Msg("leases not handed over")
+	if h.keeper.Release(ctx) != nil { // each lease has its own log line
+		h.log.Warn().Msg("some leases were not handed over; they lapse by themselves")
 	}
 	return nil
 }
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -50,12 +50,13 @@
 	return oops.Code(string(kind)).Hint(remedy).Errorf("%s; remedy: %s", message, remedy)
 }
 
-// Wrap returns an error of the kind that keeps err as its cause.
+// Wrap returns an error that keeps err as its cause. Its kind is that of err
+// if err is typed, and otherwise the given one.
 func Wrap(kind Kind, err error, message, remedy string) error {
 	if err == nil {
 		return nil
 	}
-	return oops.Code(string(kind)).Hint(remedy).Wrapf(err, "%s; remedy: %s", message, remedy)
+	return oops.Code(string(kind)).Hint(remedy).Wrap(fmt.Errorf("%s: %w; remedy: %s", message, err, remedy))
 }
 
 // Invalid returns an error about one field: what is wrong with it and the remedy.
