roster: spread a changed roster at once

Cause: hosts that start together joined one after the other, each after the roster before had spread by heartbeats and periodic reads. All of them worked in the same phase, so that one joined in a round and the others met a conflict.

Change: a member that takes over a newer roster sends heartbeats at once, and one that hears of a newer roster fetches it at once from a member. The first news comes from the host that has just joined, which is in no roster held so far and may be of another cell, so the two watching members read the platform then and the others follow them. The periods of hosts differ in phase by a hash of the host. A change of the roster costs each member one more round of heartbeats and the platform two more reads.

TestHalfLost now guards the time to form with a limit of 20 s.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -68,7 +68,7 @@
 func (p path) Send(address string, b cell.Beat) {
 	if d, err := p.to(p.from, address); err == nil {
 		b.Vouch = b.Vouch || p.naive
-		d.cells.Member().Handle(b)
+		d.cells.Handle(b)
 	}
 }
 
--- a/feed/loss_test.go
+++ b/feed/loss_test.go
@@ -35,7 +35,8 @@
 	return time.Since(start)
 }
 
-// lossOf runs a cell of 19 and calls f after n of them are lost at once.
+// lossOf runs a cell of 19 that start together and calls after once n of them are
+// lost at once. It guards against a cell that takes seconds per host to form.
 func lossOf(t *testing.T, n int, outage bool, after func(t *testing.T, ctx context.Context, f *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
@@ -47,7 +48,7 @@
 			f.mem.SetHost(store.Host{ID: model.HostID(name)})
 			f.start(ctx, name)
 		}
-		within(t, 5*time.Minute, "the cell formed", func() bool {
+		within(t, 20*time.Second, "the cell formed", func() bool {
 			for name, d := range f.daemons {
 				if f.members(name) < cellSize || !d.member.Fresh() {
 					return false
--- a/roster/link.go
+++ b/roster/link.go
@@ -97,7 +97,7 @@
 
 // Register makes the server answer for the service's member.
 func Register(w *wire.Server, s *Service) {
-	wire.Receive(w, methodBeat, func(_ context.Context, b *cell.Beat) { s.member.Handle(*b) })
+	wire.Receive(w, methodBeat, func(_ context.Context, b *cell.Beat) { s.Handle(*b) })
 	wire.Handle(w, methodAsk, func(ctx context.Context, q *cell.Question) (*cell.Answer, error) {
 		a := s.Take(ctx, *q)
 		return &a, nil
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -98,7 +98,7 @@
 		return // after a lost answer the next round reads what became of it
 	}
 	r.Version = at
-	s.member.Adopt(r, true)
+	s.adopt(r, true)
 	s.logger.Info().Str("cell", string(s.member.Name())).Int("members", len(r.Hosts)).Msg(what)
 }
 
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -59,7 +59,7 @@
 
 func (p path) Send(address string, b cell.Beat) {
 	if s := p.net.to(p.from, address); s != nil {
-		s.Member().Handle(b)
+		s.Handle(b)
 	}
 }
 
--- a/roster/service.go
+++ b/roster/service.go
@@ -51,6 +51,8 @@
 	logger    zerolog.Logger
 	clock     model.Clock
 
+	changed chan struct{} // holds a value after the roster changed
+	behind  chan struct{} // holds a value after a heartbeat named a newer roster
 	started time.Time
 	rounds  int
 	listed  map[model.HostID]time.Time // when the host list last showed the host
@@ -81,6 +83,7 @@
 	v := &Service{
 		member: m, store: s, transport: t, logger: zerolog.Nop(), clock: time.Now,
 		listed: make(map[model.HostID]time.Time), reset: make(map[string]time.Time),
+		changed: make(chan struct{}, 1), behind: make(chan struct{}, 1),
 	}
 	for _, o := range options {
 		o(v)
@@ -95,25 +98,57 @@
 // Run sends heartbeats and maintains the roster until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return every(ctx, s.beat) })
-	g.Go(func() error { return every(ctx, s.maintain) })
+	g.Go(func() error { return s.every(ctx, s.changed, s.beat, s.beat) })
+	g.Go(func() error { return s.every(ctx, s.behind, s.maintain, s.catchUp) })
 	return g.Wait()
 }
 
-// every calls f at once and then once a period.
-func every(ctx context.Context, f func(context.Context)) error {
-	t := time.NewTicker(cell.Period)
+// every calls f at once and then once a period, and g when told so. Hosts that
+// start together differ in phase, so that their updates of the roster do not
+// conflict in each period.
+func (s *Service) every(ctx context.Context, now <-chan struct{}, f, g func(context.Context)) error {
+	f(ctx)
+	phase := time.Duration(model.Rank(s.member.Self().ID, "phase") % uint64(cell.Period))
+	t := time.NewTimer(phase)
 	defer t.Stop()
 	for {
-		f(ctx)
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-now:
+			g(ctx)
 		case <-t.C:
+			t.Reset(cell.Period)
+			f(ctx)
 		}
 	}
 }
 
+// Handle takes in a heartbeat. A newer roster that it names is fetched at once.
+func (s *Service) Handle(b cell.Beat) {
+	s.member.Handle(b)
+	if s.member.Held().Version < b.Roster {
+		signal(s.behind)
+	}
+}
+
+// adopt takes over a roster and, if it is newer, lets the cell know at once by
+// heartbeats: the next change waits until the cell holds this one.
+func (s *Service) adopt(r cell.Roster, platform bool) {
+	before := s.member.Held().Version
+	s.member.Adopt(r, platform)
+	if r.Version > before {
+		signal(s.changed)
+	}
+}
+
+func signal(c chan<- struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 func (s *Service) beat(context.Context) {
 	var used []string
 	for _, e := range s.member.Tick() {
@@ -202,7 +237,7 @@
 		s.logger.Error().Err(err).Str("cell", string(s.member.Name())).Msg("the roster of the cell is invalid")
 		return cell.Roster{}, err
 	}
-	s.member.Adopt(r, true)
+	s.adopt(r, true)
 	s.member.Confirm(at, r.Version)
 	return r, nil
 }
@@ -216,8 +251,18 @@
 	return r, r.Check()
 }
 
-// follow takes the newest roster from a peer that has a newer one.
-func (s *Service) follow(ctx context.Context) {
+// catchUp fetches a newer roster. Only members are asked for it: a host that is
+// in no roster held here may be of another cell. If none has it, a host that has
+// just joined named it, and the watching members read it from the platform.
+func (s *Service) catchUp(ctx context.Context) {
+	if !s.follow(ctx) && s.member.Watches() {
+		_, _ = s.readRoster(ctx) // maintain reads it again in any case
+	}
+}
+
+// follow takes the newest roster from a peer that has a newer one and reports
+// whether there is one.
+func (s *Service) follow(ctx context.Context) bool {
 	held := s.member.Held()
 	var best cell.Peer
 	for _, p := range s.member.Peers() {
@@ -225,16 +270,18 @@
 			best = p
 		}
 	}
-	if best.Roster > held.Version {
-		s.ask(ctx, best.Address)
+	if best.Roster <= held.Version {
+		return false
 	}
+	s.ask(ctx, best.Address)
+	return true
 }
 
 func (s *Service) ask(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if r, err := s.transport.Roster(ctx, address); err == nil && r.Check() == nil {
-		s.member.Adopt(r, false)
+		s.adopt(r, false)
 	}
 }
 
