--- a/queue/doc.go
+++ b/queue/doc.go
@@ -1,21 +1,34 @@
-// Package queue holds the requests of one pool for a short time while no
-// target has a free slot, and lets them proceed in a fair order.
+// Package queue is the short fair queue in front of each pool. While a pool
+// has free capacity a request goes through at once. Otherwise it waits, and
+// the next slot goes to the customer that uses the smallest part of its share.
 //
-// A request proceeds at once while capacity is free. Waiting requests are
-// ordered by deadline inside a customer, and between customers by deficit
-// round robin with the customers' weights: a customer that sends several times
-// its rate waits behind its own requests only. A request that can no longer be
-// answered in time is dropped, by a running estimate of the service time.
+// A customer's share is its weight's part of the pool's capacity among the
+// customers that run or wait. Customers below the whole slots of their share
+// come first, the one with the fewest running requests for its weight before
+// the others; then those that a rounded-up share still allows; then, so that
+// no capacity is left unused, all others. Equals take turns by deficit round
+// robin, in which each request costs 1 and each turn is worth the weight.
+// Inside a customer the request with the nearest deadline is first.
+//
+// The queue is bounded for each customer and in all. When it is full in all,
+// the customer with the most waiting requests for its weight loses its last
+// one to a customer with fewer. A request is dropped when its deadline is
+// nearer than the shortest usual service time, so that no target works on an
+// answer that comes too late. Requests that find free capacity are never
+// dropped for this reason: their service times keep the estimate current.
 //
 // # Usage
 //
-//	q := queue.New(func() int { return picker.Capacity("orders") })
-//	t, err := q.Enter(ctx, "acme", weight, deadline)
+//	s := queue.NewSet(picker, queue.WithLog(log), queue.WithMeter(scope))
+//	s.Update(pools) // on each change of the configuration
+//	...
+//	release, err := s.Enter(ctx, "orders", customer, deadline)
 //	if err != nil {
-//		return err // of kind queue.KindBusy or fault.Late; the request did not run
+//		return err // the request was not run: KindBusy, fault.Late, ...
 //	}
-//	defer t.Release()
+//	defer release()
 //
-// Enter allocates nothing while capacity is free. All methods may be called
-// concurrently. The queue starts no goroutine; a timer runs while requests wait.
+// Enter and release allocate no memory while capacity is free. All methods may
+// be called concurrently. A goroutine looks for freed capacity while requests
+// wait and ends with the last of them.
 package queue
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -1,271 +1,344 @@
 package queue
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"rhubarbdrift.example/fault"
-	"rhubarbdrift.example/model"
-)
-
-// KindBusy marks a request that did not run because too many wait.
-const KindBusy fault.Kind = "busy"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
-// The errors are made once, so that a refusal allocates nothing.
-var (
-	errBusy = fault.New(KindBusy, "too many requests wait for the pool", "send the request again later, or add targets to the pool")
-	errLate = fault.New(fault.Late, "the request could not be answered before its deadline", "send the request again with a longer deadline")
+	"rhubarbdrift.example/model"
 )
 
 const (
-	// defaultLength and defaultShare bound the waiting requests of the pool and
-	// of one customer.
-	defaultLength = 512
-	defaultShare  = 128
-	// pollPeriod is the time after which the capacity is read again while
-	// requests wait: it may grow without a release, for example when a target
-	// returns.
-	pollPeriod = 10 * time.Millisecond
-	// estimateWeight is the part of one service time in the running estimate.
-	estimateWeight = 0.05
+	// DefaultLength is the number of requests that may wait for one pool.
+	DefaultLength = 512
+	// DefaultCustomer is the number of requests of one customer that may wait
+	// for one pool.
+	DefaultCustomer = 128
+	// maxWeight bounds a customer's weight, and with it the length of its turn.
+	maxWeight = 1000
+	// pumpPause is how often waiting requests look for capacity that was not
+	// announced, such as that of a target whose pause ended, and for deadlines.
+	pumpPause = 5 * time.Millisecond
 )
 
-// Queue admits the requests of one pool.
-type Queue struct {
-	capacity func() int
+// Source says how many requests a pool may run. pick.Picker implements it.
+type Source interface {
+	// Capacity returns the number of requests that may run at once.
+	Capacity(id model.PoolID) int
+	// Free returns a channel that is closed when the capacity may have grown.
+	Free(id model.PoolID) <-chan struct{}
+}
+
+// settings are what the options set.
+type settings struct {
 	clock    model.Clock
 	length   int
-	share    int
-
-	mu        sync.Mutex
-	running   int
-	waiting   int
-	customers map[model.CustomerID]*line
-	turn      *line         // the customer whose turn it is, in a ring
-	estimate  time.Duration // of the service time
-	idle      []*Ticket
-	poll      *time.Timer
+	customer int
+	log      zerolog.Logger
+	scope    tally.Scope
 }
 
-// Option changes a Queue under construction.
-type Option func(*Queue)
+// Option sets an optional property of a Queue or of all queues of a Set.
+type Option func(*settings)
 
 // WithClock replaces the clock.
-func WithClock(c model.Clock) Option { return func(q *Queue) { q.clock = c } }
+func WithClock(c model.Clock) Option { return func(s *settings) { s.clock = c } }
 
-// WithLength bounds the waiting requests of all customers and of each.
-func WithLength(all, each int) Option {
-	return func(q *Queue) { q.length, q.share = max(1, all), max(1, each) }
+// WithLength sets how many requests may wait for one pool: of one customer,
+// and in all. Zero keeps the default.
+func WithLength(customer, all int) Option {
+	return func(s *settings) {
+		s.customer, s.length = cmp.Or(customer, s.customer), cmp.Or(all, s.length)
+	}
 }
 
-// New returns an empty Queue. The capacity is the number of requests that may
-// run at once; it is called often and must not call the Queue.
-func New(capacity func() int, options ...Option) *Queue {
-	q := &Queue{
-		capacity: capacity, clock: time.Now, length: defaultLength, share: defaultShare,
-		customers: make(map[model.CustomerID]*line),
+// WithLog sets the logger.
+func WithLog(l zerolog.Logger) Option { return func(s *settings) { s.log = l } }
+
+// WithMeter sets the scope of the metrics.
+func WithMeter(t tally.Scope) Option { return func(s *settings) { s.scope = t } }
+
+func newSettings(options []Option) settings {
+	s := settings{
+		clock: time.Now, length: DefaultLength, customer: DefaultCustomer,
+		log: zerolog.Nop(), scope: tally.NoopScope,
 	}
 	for _, o := range options {
-		o(q)
+		o(&s)
 	}
-	return q
+	return s
 }
 
-// Ticket is the right of one request to run. It must not be used after Release.
-type Ticket struct {
-	queue    *Queue
-	began    time.Time
-	deadline time.Time
-	line     *line
-	index    int // in the line; -1: not waiting
-	err      error
-	ready    chan struct{}
+// Queue is the queue of one pool.
+type Queue struct {
+	pool     model.PoolID
+	source   Source
+	settings settings
+	counters counters
+	alarmed  atomic.Int64 // time of the last alarm, nanoseconds since 1970
+
+	mu      sync.Mutex
+	flows   map[model.CustomerID]*flow // customers that run or wait
+	weights int                        // sum of their weights
+	ring    ring                       // flows that wait
+	running int
+	waiting int
+	seq     uint64
+	closed  bool
+	pumping bool
+	service estimate
+	slots   []*slot // ended, for reuse
+	spare   []*flow // ended, for reuse
 }
 
-// Enter waits until the request may run. A weight below 1 counts as 1, a zero
-// deadline means none. The errors have the kinds KindBusy and fault.Late, the
-// latter also when ctx ends; in both cases the request did not run. Otherwise
-// the caller must call Release once.
-func (q *Queue) Enter(ctx context.Context, customer model.CustomerID, weight int, deadline time.Time) (*Ticket, error) {
-	q.mu.Lock()
-	now := q.clock()
-	if q.late(deadline, now) || ctx.Err() != nil {
-		q.mu.Unlock()
-		return nil, errLate
-	}
-	if q.waiting == 0 && q.running < q.capacity() {
-		t := q.ticket(deadline)
-		t.began = now
-		q.running++
-		q.mu.Unlock()
-		return t, nil
+// New returns the queue of a pool.
+func New(pool model.PoolID, source Source, options ...Option) *Queue {
+	return newQueue(pool, source, newSettings(options))
+}
+
+func newQueue(pool model.PoolID, source Source, s settings) *Queue {
+	return &Queue{
+		pool: pool, source: source, settings: s, counters: newCounters(s.scope, pool),
+		flows: make(map[model.CustomerID]*flow),
 	}
-	t, err := q.join(customer, weight, deadline)
-	if err == nil {
-		q.dispatch(now)
+}
+
+// slot is one running request. It is used again after its release.
+type slot struct {
+	queue   *Queue
+	flow    *flow
+	since   time.Time
+	held    bool
+	release func() // made once, so that Enter allocates nothing
+}
+
+// Enter waits until the pool has capacity for a request of the customer, whose
+// id is empty on open routes. The weight counts as 1 to 1000. A zero deadline is none. The release function
+// must be called exactly once, when the request ended. Errors have the kinds
+// KindBusy, fault.Late, fault.Missing (the pool was removed) and
+// fault.Unavailable (ctx was cancelled); the request was then not run.
+func (q *Queue) Enter(ctx context.Context, id model.CustomerID, weight int, deadline time.Time) (release func(), err error) {
+	s, w, err := q.enter(id, min(max(1, weight), maxWeight), deadline)
+	if w != nil {
+		s, err = q.await(ctx, w)
 	}
-	patience := deadline.Sub(now) - q.estimate
-	q.mu.Unlock()
 	if err != nil {
+		q.refused(id, err)
 		return nil, err
 	}
-	return q.wait(ctx, t, patience)
+	return s.release, nil
 }
 
-// wait returns when the request may run or was dropped. The patience is the
-// time after which it can no longer be answered before its deadline.
-func (q *Queue) wait(ctx context.Context, t *Ticket, patience time.Duration) (*Ticket, error) {
-	var expired <-chan time.Time
-	if !t.deadline.IsZero() {
-		timer := time.NewTimer(patience)
-		defer timer.Stop()
-		expired = timer.C
+// enter returns a slot, a waiter or an error.
+func (q *Queue) enter(id model.CustomerID, weight int, deadline time.Time) (*slot, *waiter, error) {
+	now := q.settings.clock()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.closed {
+		return nil, nil, errPool
+	}
+	if !deadline.IsZero() && !now.Before(deadline) {
+		return nil, nil, errLate
+	}
+	if q.waiting == 0 && q.running < q.capacity() {
+		return q.grant(q.join(id, weight), now), nil, nil
+	}
+	q.expire(now)
+	f := q.join(id, weight)
+	if !q.room(f) {
+		q.part(f)
+		return nil, nil, errBusy
 	}
+	q.seq++
+	w := &waiter{flow: f, deadline: deadline, since: now, seq: q.seq, ready: make(chan struct{})}
+	q.push(w)
+	q.dispatch(now)
+	if q.waiting > 0 && !q.pumping {
+		q.pumping = true
+		go q.pump()
+	}
+	return nil, w, nil
+}
+
+// await waits for the outcome of a waiting request.
+func (q *Queue) await(ctx context.Context, w *waiter) (*slot, error) {
 	select {
-	case <-t.ready:
+	case <-w.ready:
 	case <-ctx.Done():
-		q.leave(t)
-	case <-expired:
-		q.leave(t)
+		q.leave(w)
+		if w.err == nil {
+			w.err = errLeft
+			if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+				w.err = errLate
+			}
+		}
 	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	err := t.err
-	if err != nil {
-		q.idle = append(q.idle, t)
-		return nil, err
+	if w.err != nil {
+		return nil, w.err
 	}
-	return t, nil
+	q.counters.waited(q.settings.clock().Sub(w.since))
+	return w.slot, nil
 }
 
-// leave ends the waiting of a request. If it was admitted in the meantime, the
-// slot goes to the next.
-func (q *Queue) leave(t *Ticket) {
+// leave takes a request whose context ended out of the queue, and gives back
+// its slot if it got one in the same moment.
+func (q *Queue) leave(w *waiter) {
+	now := q.settings.clock()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	switch {
-	case t.index >= 0:
-		q.remove(t)
-	case t.err == nil:
-		<-t.ready
-		q.running--
-	default:
-		<-t.ready
+	case w.index >= 0:
+		q.take(w)
+		q.part(w.flow)
+	case w.slot != nil:
+		q.end(w.slot)
 	}
-	t.err = errLate
-	q.dispatch(q.clock())
+	q.dispatch(now)
 }
 
-// Release ends the request and lets the next one run.
-func (t *Ticket) Release() {
-	q := t.queue
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	now := q.clock()
-	took := now.Sub(t.began)
-	if q.estimate == 0 {
-		q.estimate = took
+// room makes sure that one more request of the flow may wait.
+func (q *Queue) room(f *flow) bool {
+	if len(f.wait) >= q.settings.customer {
+		return false
 	}
-	q.estimate += time.Duration(estimateWeight * float64(took-q.estimate))
-	q.running--
-	q.idle = append(q.idle, t)
-	q.dispatch(now)
+	if q.waiting < q.settings.length {
+		return true
+	}
+	long := q.ring.longest()
+	if (len(f.wait)+1)*long.weight >= len(long.wait)*f.weight {
+		return false
+	}
+	q.settle(long.wait.last(), nil, errBusy)
+	return true
 }
 
-// Kick reads the capacity again. It is called when the capacity has grown.
-func (q *Queue) Kick() {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.dispatch(q.clock())
+// dispatch gives free capacity to waiting requests.
+func (q *Queue) dispatch(now time.Time) {
+	if q.waiting == 0 {
+		return
+	}
+	q.expire(now)
+	capacity := q.capacity()
+	for q.waiting > 0 && q.running < capacity {
+		f := q.ring.flows[q.ring.next(capacity, q.weights)]
+		w := f.wait[0]
+		q.settle(w, q.grant(f, now), nil)
+	}
 }
 
-// State describes the queue for the status page.
-type State struct {
-	Running  int           `json:"running"`
-	Waiting  int           `json:"waiting"`
-	Estimate time.Duration `json:"estimate"` // of the service time
+// expire drops the requests that can no longer be answered in time.
+func (q *Queue) expire(now time.Time) {
+	end := now.Add(q.service.value)
+	for i := len(q.ring.flows) - 1; i >= 0; i-- {
+		f := q.ring.flows[i]
+		for len(f.wait) > 0 {
+			w := f.wait[0]
+			if w.deadline.IsZero() || end.Before(w.deadline) || end.Equal(w.deadline) {
+				break
+			}
+			q.settle(w, nil, errLate)
+		}
+	}
 }
 
-// State returns the current counts.
-func (q *Queue) State() State {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return State{Running: q.running, Waiting: q.waiting, Estimate: q.estimate}
+// settle ends the wait of a request with a slot or an error.
+func (q *Queue) settle(w *waiter, s *slot, err error) {
+	q.take(w)
+	w.slot, w.err = s, err
+	close(w.ready)
+	q.part(w.flow)
 }
 
-func (q *Queue) late(deadline, now time.Time) bool {
-	return !deadline.IsZero() && now.Add(q.estimate).After(deadline)
-}
+// capacity returns the number of requests that may run at once. It is at least
+// one, so that a pool without any gets requests one by one and the target
+// choice says what is missing.
+func (q *Queue) capacity() int { return max(1, q.source.Capacity(q.pool)) }
 
-func (q *Queue) ticket(deadline time.Time) *Ticket {
-	var t *Ticket
-	if n := len(q.idle); n > 0 {
-		t = q.idle[n-1]
-		q.idle = q.idle[:n-1]
+// grant takes a slot for the flow.
+func (q *Queue) grant(f *flow, now time.Time) *slot {
+	var s *slot
+	if n := len(q.slots); n > 0 {
+		s, q.slots = q.slots[n-1], q.slots[:n-1]
 	} else {
-		t = &Ticket{queue: q, ready: make(chan struct{}, 1)}
+		s = &slot{queue: q}
+		s.release = s.done
 	}
-	t.deadline, t.index, t.err, t.line = deadline, -1, nil, nil
-	return t
+	s.flow, s.since, s.held = f, now, true
+	f.running++
+	q.running++
+	return s
 }
 
-// join adds a request to its customer's line. If the queue is full, the request
-// with the latest deadline of the customer with the most waiting requests for
-// its weight makes room.
-func (q *Queue) join(customer model.CustomerID, weight int, deadline time.Time) (*Ticket, error) {
-	l := q.customers[customer]
-	if l != nil && len(l.list) >= q.share {
-		return nil, errBusy
-	}
-	if q.waiting >= q.length {
-		worst := q.longest()
-		if worst == l {
-			return nil, errBusy
-		}
-		last := worst.last()
-		q.remove(last)
-		last.drop(errBusy)
-	}
-	if l = q.customers[customer]; l == nil {
-		l = &line{id: customer}
-		q.customers[customer] = l
-		q.enlist(l)
+// done frees the slot after its request ended.
+func (s *slot) done() {
+	q := s.queue
+	now := q.settings.clock()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !s.held {
+		return
 	}
-	l.weight = max(1, weight)
-	t := q.ticket(deadline)
-	l.add(t)
-	q.waiting++
-	return t, nil
+	q.service.add(now.Sub(s.since))
+	q.end(s)
+	q.dispatch(now)
 }
 
-// dispatch lets requests run while capacity is free.
-func (q *Queue) dispatch(now time.Time) {
-	if q.waiting == 0 {
-		return
-	}
-	for free := q.capacity() - q.running; free > 0 && q.waiting > 0; {
-		t := q.next()
-		if q.late(t.deadline, now) {
-			t.drop(errLate)
-			continue
+func (q *Queue) end(s *slot) {
+	f := s.flow
+	s.flow, s.held = nil, false
+	q.slots = append(q.slots, s)
+	f.running--
+	q.running--
+	q.part(f)
+}
+
+// join returns the flow of a customer with its current weight.
+func (q *Queue) join(id model.CustomerID, weight int) *flow {
+	f := q.flows[id]
+	if f == nil {
+		if n := len(q.spare); n > 0 {
+			f, q.spare = q.spare[n-1], q.spare[:n-1]
+		} else {
+			f = new(flow)
 		}
-		t.began = now
-		q.running++
-		free--
-		t.ready <- struct{}{}
+		f.id, f.weight = id, 0
+		q.flows[id] = f
 	}
-	if q.waiting == 0 {
+	q.weights += weight - f.weight
+	f.weight = weight
+	return f
+}
+
+// part forgets the flow of a customer that neither runs nor waits.
+func (q *Queue) part(f *flow) {
+	if f.running > 0 || len(f.wait) > 0 {
 		return
 	}
-	if q.poll == nil {
-		q.poll = time.AfterFunc(pollPeriod, q.Kick)
-	} else {
-		q.poll.Reset(pollPeriod)
+	delete(q.flows, f.id)
+	q.weights -= f.weight
+	q.spare = append(q.spare, f)
+}
+
+// Close refuses the waiting requests and all later ones. Running requests are
+// released as usual.
+func (q *Queue) Close() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.closed = true
+	for len(q.ring.flows) > 0 {
+		q.settle(q.ring.flows[0].wait[0], nil, errPool)
 	}
 }
 
-func (t *Ticket) drop(err error) {
-	t.err = err
-	t.ready <- struct{}{}
+// Waiting returns the number of waiting requests.
+func (q *Queue) Waiting() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.waiting
 }
