report, judge: keep answers from before the suspicion out of the tests

Cause: a daemon reports good answers once a second until a target is suspect. Its first urgent report therefore brought good answers from before the failure. They counted against the evidence of that target, so suspicion ended early, and as good answers of the others, so that a failure of the whole pool looked like that of one target. Change: Hurry sets the good answers so far apart; they travel in a report marked Early, which counts in the base rates only.

--- a/judge/docket.go
+++ b/judge/docket.go
@@ -27,6 +27,7 @@
 	on       *subject
 	row      sums
 	failures []report.Tally
+	early    bool // older than the tests that run now: only for the base rates
 }
 
 // The indexes of the two tests.
@@ -197,7 +198,7 @@
 			changed = changed || !now.Before(s.drain)
 			s.drain = now.Add(drainMemory)
 		}
-		e := evidence{on: s, failures: row.Failures}
+		e := evidence{on: s, failures: row.Failures, early: r.Early}
 		e.row[failing] = cusum.Counts{N: float64(row.Answers), Bad: float64(row.Bad())}
 		e.row[slow] = cusum.Counts{N: float64(row.Answers - row.Bad()), Bad: float64(row.Slow)}
 		d.rows = append(d.rows, e)
@@ -223,11 +224,14 @@
 			}
 		}
 		for _, c := range cells {
-			if !e.on.out(c) {
+			if e.on.out(c) {
+				continue
+			}
+			if !e.early {
 				d.totals[c].total.add(&e.row, 1)
-				d.totals[c].recent.add(&e.row, 1)
-				e.on.cells[c].recent.add(&e.row, 1)
 			}
+			d.totals[c].recent.add(&e.row, 1)
+			e.on.cells[c].recent.add(&e.row, 1)
 		}
 	}
 	if !trusted {
@@ -236,7 +240,7 @@
 	for i := range d.rows {
 		e := &d.rows[i]
 		for j, c := range cells {
-			if e.on.out(c) || e.on.out(1+from.domain) {
+			if e.early || e.on.out(c) || e.on.out(1+from.domain) {
 				continue
 			}
 			for k := range e.row {
--- a/report/collect.go
+++ b/report/collect.go
@@ -1,6 +1,7 @@
 package report
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sync"
@@ -51,8 +52,9 @@
 	medians map[model.RouteID]*median
 	seq     uint64
 	touched bool
-	urgent  bool // to be reported soon
-	hurry   bool // every answer is to be reported soon
+	urgent  bool  // to be reported soon
+	hurry   bool  // every answer is to be reported soon
+	before  []Row // good answers before hurry, not reported yet
 }
 
 // Collector counts the answers that one daemon receives.
@@ -164,6 +166,9 @@
 	p := c.pool(pool)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if on && !p.hurry {
+		p.before = append(p.before, p.take((*Row).good)...)
+	}
 	p.hurry = on
 }
 
@@ -186,44 +191,47 @@
 	for id, p := range c.pools {
 		p.mu.Lock()
 		if p.urgent || p.touched && !urgent {
-			r := p.report()
-			r.Pool, r.From, r.Run = id, c.self, c.run
-			out = append(out, r)
+			for _, r := range p.reports() {
+				r.Pool, r.From, r.Run = id, c.self, c.run
+				out = append(out, r)
+			}
 		}
 		p.mu.Unlock()
 	}
-	slices.SortFunc(out, func(a, b Report) int {
-		if a.Pool < b.Pool {
-			return -1
-		}
-		return 1
-	})
+	slices.SortStableFunc(out, func(a, b Report) int { return cmp.Compare(a.Pool, b.Pool) })
+	return out
+}
+
+// reports returns the counts in one report or two and empties them.
+func (p *counts) reports() (out []Report) {
+	if len(p.before) > 0 {
+		p.seq++
+		out = append(out, Report{Seq: p.seq, Rows: p.before, Early: true})
+		p.before = nil
+	}
+	if rows := p.take(nil); len(rows) > 0 {
+		p.seq++
+		out = append(out, Report{Seq: p.seq, Rows: rows})
+	}
+	// Entries of removed targets must not accumulate.
+	if len(p.rows) > maxRows {
+		clear(p.rows)
+	}
+	p.touched, p.urgent = false, false
 	return out
 }
 
-// report copies the counts and empties them.
-func (p *counts) report() Report {
-	p.seq++
-	out := Report{Seq: p.seq}
+// take copies the rows for which the condition holds, or all, and empties them.
+func (p *counts) take(only func(*Row) bool) (out []Row) {
 	for _, r := range p.rows {
-		if r.Answers == 0 && r.Draining == 0 {
+		if r.Answers == 0 && r.Draining == 0 || only != nil && !only(r) {
 			continue
 		}
 		row := *r
 		row.Failures = slices.Clone(r.Failures)
-		out.Rows = append(out.Rows, row)
+		out = append(out, row)
 		*r = Row{Target: r.Target, Failures: r.Failures[:0]}
 	}
-	slices.SortFunc(out.Rows, func(a, b Row) int {
-		if a.Target < b.Target {
-			return -1
-		}
-		return 1
-	})
-	// Entries of removed targets must not accumulate.
-	if len(p.rows) > maxRows {
-		clear(p.rows)
-	}
-	p.touched, p.urgent = false, false
+	slices.SortFunc(out, func(a, b Row) int { return cmp.Compare(a.Target, b.Target) })
 	return out
 }
--- a/report/report.go
+++ b/report/report.go
@@ -70,6 +70,9 @@
 	Run  model.Incarnation `cbor:"3,keyasint,omitempty"`
 	Seq  uint64            `cbor:"4,keyasint"` // increases in one run
 	Rows []Row             `cbor:"5,keyasint"`
+	// Early marks answers that came before the first urgent report was asked
+	// for, and so before the failure that made a target suspect.
+	Early bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Row counts the answers of one target.
@@ -93,6 +96,9 @@
 // Bad returns the failures of all kinds.
 func (r *Row) Bad() int { return r.Failed + r.Broken + r.Silent }
 
+// good reports whether the row is no evidence against the target.
+func (r *Row) good() bool { return r.Bad()+r.Slow+r.Draining == 0 }
+
 const (
 	// maxRows bounds the lists of a report that comes from another daemon.
 	maxRows = 4096
