--- a/cusum/cusum.go
+++ b/cusum/cusum.go
@@ -27,8 +27,8 @@
 	// is half of the rest.
 	partShare = 0.5
 	// aloneRest is the evidence of the other reporters below which one group of
-	// them alone finds the item bad: two good events.
-	aloneRest = -0.9
+	// them alone finds the item bad: one good event.
+	aloneRest = -0.4
 	// controlEvents is the number of events of the other items since the
 	// restart that a decision needs. Without it the first of several items
 	// that become bad together would be found bad alone.
--- a/judge/fleet_test.go
+++ b/judge/fleet_test.go
@@ -45,13 +45,17 @@
 // run lets a healthy fleet warm up and then runs it with the fault.
 func run(shape trial.Shape, seed uint64, d time.Duration, bad fault) (f *trial.Fleet, from time.Duration) {
 	f = trial.NewFleet(shape, seed)
-	f.Run(15*time.Second + time.Duration(seed)*10*time.Millisecond)
+	f.Run(15*time.Second + time.Duration(seed%200)*10*time.Millisecond)
 	from = f.Now()
 	f.Behave = func(a *trial.Attempt) { bad(f, a) }
 	f.Run(d)
 	return f, from
 }
 
+// detectionSeed is the first seed of TestDetection. The limits and the rules
+// for suspects were chosen on seeds 0 to 199 and 10000 to 10999.
+const detectionSeed = 70_000
+
 // detection returns the sorted times after which target t-0 received no more
 // requests, over runs that end before an ejection ends.
 func detection(shape trial.Shape, runs int, bad fault) []time.Duration {
@@ -59,7 +63,7 @@
 	var wg sync.WaitGroup
 	for i := range out {
 		wg.Go(func() {
-			f, from := run(shape, uint64(i), 5*time.Second, at("t-0", bad))
+			f, from := run(shape, detectionSeed+uint64(i), 5*time.Second, at("t-0", bad))
 			out[i] = f.LastPick["t-0"] - from
 		})
 	}
@@ -70,8 +74,6 @@
 
 // TestDetection guards against ejections that are later than the bound. Five
 // consecutive errors on each daemon alone must miss it in the same simulation.
-// The p99 over these 200 seeds has little margin: of 1000 others, 0.8% (25
-// targets), 1.9% (8) and 1.5% (28) of the failing targets were out later.
 func TestDetection(t *testing.T) {
 	const runs, p99 = 200, 197
 	for _, s := range shapes {
