judge, cusum: move the pair of counts to cusum

Change: cusum.Pair replaces the type sums; reset and one loop are gone. Conclusion: no change of behaviour.

--- a/cusum/cusum.go
+++ b/cusum/cusum.go
@@ -55,6 +55,23 @@
 	c.Bad *= factor
 }
 
+// Pair holds the counts for two tests of the same items.
+type Pair [2]Counts
+
+// Add adds the counts o, times the factor.
+func (p *Pair) Add(o *Pair, factor float64) {
+	for k := range p {
+		p[k].Add(o[k], factor)
+	}
+}
+
+// Scale multiplies the counts.
+func (p *Pair) Scale(factor float64) {
+	for k := range p {
+		p[k].Scale(factor)
+	}
+}
+
 // Base returns the rate of the counts without those of one item, at least
 // LeastBase.
 func (c *Counts) Base(own Counts) float64 {
--- a/judge/ban.go
+++ b/judge/ban.go
@@ -67,12 +67,6 @@
 	ban    ban
 }
 
-func (c *cell) reset() {
-	for k := range c.tests {
-		c.tests[k].Reset()
-	}
-}
-
 // subject is one target.
 type subject struct {
 	id      model.TargetID
@@ -111,7 +105,7 @@
 	s.cells[c].ban.begin(v, random, now)
 	for i := range s.cells {
 		if c == 0 || i == 0 || i == c {
-			s.cells[i].reset()
+			s.cells[i].tests = [2]cusum.Test[*reporter]{}
 		}
 	}
 }
@@ -122,9 +116,9 @@
 	changed := s.suspect && now.Sub(s.heard) > relapse
 	s.suspect = s.suspect && !changed
 	for i := range s.cells {
-		s.cells[i].recent.scale(f)
+		s.cells[i].recent.Scale(f)
 		if s.cells[i].ban.end(now) {
-			s.cells[i].reset()
+			s.cells[i].tests = [2]cusum.Test[*reporter]{}
 			changed = true
 		}
 	}
--- a/judge/decide.go
+++ b/judge/decide.go
@@ -128,7 +128,7 @@
 	}
 	s.eject(c, &v, d.judge.random, now)
 	for i := range s.cells {
-		d.totals[i].recent.add(&s.cells[i].recent, -1)
+		d.totals[i].recent.Add(&s.cells[i].recent, -1)
 		s.cells[i].recent = sums{}
 	}
 }
--- a/judge/docket.go
+++ b/judge/docket.go
@@ -40,19 +40,7 @@
 )
 
 // sums are the counts for the two tests.
-type sums [2]cusum.Counts
-
-func (s *sums) add(o *sums, factor float64) {
-	for k := range s {
-		s[k].Add(o[k], factor)
-	}
-}
-
-func (s *sums) scale(factor float64) {
-	for k := range s {
-		s[k].Scale(factor)
-	}
-}
+type sums = cusum.Pair
 
 // cellSums are the counts of a pool as seen by all reporters or by those of
 // one failure domain.
@@ -141,7 +129,7 @@
 	d.ticked = now
 	f := decay(gone, baseMemory)
 	for i := range d.totals {
-		d.totals[i].recent.scale(f)
+		d.totals[i].recent.Scale(f)
 	}
 	d.activate(now)
 	changed := false
@@ -215,10 +203,7 @@
 // looks better than it is.
 func (d *docket) weigh(from *reporter, trusted bool, now time.Time) {
 	cells := [2]int{0, 1 + from.domain}
-	var before [2]sums
-	for i, c := range cells {
-		before[i] = d.totals[c].total
-	}
+	before := [2]sums{d.totals[cells[0]].total, d.totals[cells[1]].total}
 	for i := range d.rows {
 		e := &d.rows[i]
 		for _, f := range e.failures {
@@ -231,10 +216,10 @@
 				continue
 			}
 			if !e.early {
-				d.totals[c].total.add(&e.row, 1)
+				d.totals[c].total.Add(&e.row, 1)
 			}
-			d.totals[c].recent.add(&e.row, 1)
-			e.on.cells[c].recent.add(&e.row, 1)
+			d.totals[c].recent.Add(&e.row, 1)
+			e.on.cells[c].recent.Add(&e.row, 1)
 		}
 	}
 	if trusted {
