--- a/bench/fleet.go
+++ b/bench/fleet.go
@@ -51,7 +51,7 @@
 
 func (f *fleet) openTargets(ctx context.Context, p *Plan) error {
 	for i := range p.Targets {
-		t, err := start(ctx, p.Program, "target", "--name", fmt.Sprintf("real-%d", i), "--slots", fmt.Sprint(slots), "--work", p.Work.String())
+		t, err := start(ctx, p.Program, "target", "--name", fmt.Sprintf("real-%d", i), "--slots", fmt.Sprint(spare), "--work", p.Work.String())
 		if err != nil {
 			return err
 		}
--- a/bench/tables.go
+++ b/bench/tables.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"rhubarbdrift.example/conf"
+	"rhubarbdrift.example/exch"
 	"rhubarbdrift.example/model"
 	"rhubarbdrift.example/store"
 )
@@ -22,8 +23,13 @@
 	callers = 32
 	// size is the length of a response body in bytes.
 	size = 1024
-	// slots of each stand-in target, enough that none of them sheds load.
-	slots = 256
+	// slots of each stand-in target in the configuration: as many as a daemon
+	// opens connections to a target (exch.DefaultConnections), so that bursts
+	// wait in the queue.
+	slots = exch.DefaultConnections
+	// spare is the number of slots that a stand-in target has, so that direct
+	// calls are not shed when they come in bursts.
+	spare = 256
 	// path is that of a route of the first pool, whose targets are stand-ins.
 	path = "/service-0/part-9"
 	// region and domain of the daemon and the stand-ins.
