--- a/daemon/status.go
+++ b/daemon/status.go
@@ -1,9 +1,12 @@
 package daemon
 
 import (
+	"context"
+	"fmt"
 	"time"
 
 	"rhubarbdrift.example/admin"
+	"rhubarbdrift.example/gate"
 	"rhubarbdrift.example/kern"
 	"rhubarbdrift.example/lease"
 	"rhubarbdrift.example/model"
@@ -13,8 +16,11 @@
 // fresh reports whether keyed routes may be served.
 func (d *Daemon) fresh() bool { return d.snapshot() != nil && d.state.cell.member.Fresh() }
 
+// Ready reports whether the balancer should send callers to this daemon.
+func (d *Daemon) Ready() bool { return d.fresh() && !d.state.stopping.Load() }
+
 // Status returns what the daemon knows about itself and its fleet.
-func (d *Daemon) Status() admin.Status {
+func (d *Daemon) Status(ctx context.Context) admin.Status {
 	fresh := d.fresh()
 	s := admin.Status{
 		Host:   d.settings.Host,
@@ -22,8 +28,9 @@
 		Domain: d.settings.Domain,
 		Cell:   d.settings.Cell,
 		Fresh:  fresh,
-		Ready:  fresh && !d.state.stopping.Load(),
+		Ready:  d.Ready(),
 	}
+	s.Cells, s.Platform = d.cells(ctx)
 	if c := d.snapshot(); c != nil {
 		s.Version = c.Version()
 		s.Accepted = d.state.cell.member.Accepted(c.Version())
@@ -56,14 +63,23 @@
 	var list []admin.TargetStatus
 	for _, pool := range d.Intent().Pools {
 		for _, t := range p.Status(pool.ID) {
-			list = append(list, admin.TargetStatus{
-				Pool: pool.ID, Target: t.Target, Running: t.Flight, Verdict: verdictOf(t),
-			})
+			list = append(list, d.target(pool.ID, t))
 		}
 	}
 	return list
 }
 
+func (d *Daemon) target(pool model.PoolID, t pick.Status) admin.TargetStatus {
+	status := admin.TargetStatus{Pool: pool, Target: t.Target, Running: t.Flight, Verdict: verdictOf(t)}
+	v, ok := d.state.evidence.verdict(pool, t.Target)
+	if !ok {
+		return status
+	}
+	status.Scope = string(v.Domain)
+	status.Evidence = fmt.Sprintf("%s answers=%d bad=%d base=%.3f score=%.1f", v.Finding, v.Answers, v.Bad, v.Base, v.Score)
+	return status
+}
+
 func verdictOf(t pick.Status) string {
 	switch {
 	case t.Draining:
@@ -78,9 +94,16 @@
 }
 
 func (d *Daemon) customers() []admin.CustomerStatus {
+	g, err := kern.Find[*gate.Gate](d.kernel, nameGate)
+	if err != nil {
+		return nil
+	}
 	var list []admin.CustomerStatus
 	for _, c := range d.Intent().Customers {
-		list = append(list, admin.CustomerStatus{Customer: c.ID, Rate: c.Rate, Burst: c.Burst})
+		use := g.Use(c.ID)
+		list = append(list, admin.CustomerStatus{
+			Customer: c.ID, Rate: c.Rate, Burst: c.Burst, Admitted: use.Admitted, Refused: use.Refused,
+		})
 	}
 	return list
 }
