slope: measure how the costs of the fleet grow

Change: package slope measures the configuration, targets, buckets, token asks, evidence, heartbeats, leases and propagation at three or more sizes; package bench runs cells of real services in one process; package trend fits lines and draws them; 'make slopes' runs all of it.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets are run by developers and CI alike. See README.md.
-.PHONY: all build demo fmt lint vet unit test
+.PHONY: all build demo fmt lint vet unit test slopes
 
 LINT = go tool -modfile=tools/go.mod golangci-lint
 
@@ -24,3 +24,7 @@
 	go test -race -count=1 ./...
 
 test: lint vet unit
+
+# Takes about four minutes; not part of test. See docs/CAPACITY.md.
+slopes: build
+	bin/rhubarbdrift slopes --plot docs/slopes.svg
--- a/cmds/root.go
+++ b/cmds/root.go
@@ -84,6 +84,6 @@
 	})
 	root.AddCommand(newDaemon(), newCheck(), newKey(), newVersion(),
 		newPlan(), newConfirm(), newShow(), newStatus(), newAudit(),
-		newPlatform(), newTarget(), newRelay(), newLoad())
+		newPlatform(), newTarget(), newRelay(), newLoad(), newSlopes())
 	return root
 }
--- /dev/null
+++ b/slope/evidence.go
@@ -0,0 +1,67 @@
+package slope
+
+import (
+	"context"
+
+	"rhubarbdrift.example/bench"
+	"rhubarbdrift.example/judge"
+	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/report"
+	"rhubarbdrift.example/trend"
+	"rhubarbdrift.example/wire"
+)
+
+const (
+	methodReport  = "judge.report"
+	methodVerdict = "judge.verdict"
+)
+
+// ack is the answer to a report or a verdict set, as in package daemon.
+type ack struct{}
+
+// measureEvidence measures reports and verdict sets on a real connection.
+func measureEvidence(ctx context.Context, p Plan, r *trend.Report) error {
+	j := judge.New("judge", "run")
+	c, err := connect(ctx, func(s *wire.Server) {
+		wire.Handle(s, methodReport, func(_ context.Context, q *report.Report) (*ack, error) {
+			j.Handle(q)
+			return new(ack), nil
+		})
+		wire.Handle(s, methodVerdict, func(context.Context, *model.VerdictSet) (*ack, error) { return new(ack), nil })
+	})
+	if err != nil {
+		return err
+	}
+	defer c.stop()
+	size := r.Add("judge.report and answer, with HTTP/2", "rows", "bytes")
+	took := r.Add("judge.report, processor time of both sides", "rows", "us")
+	seq := uint64(0)
+	for _, n := range p.Rows {
+		bytes, cpu := c.bytes(), processor()
+		for range p.Asks / 2 {
+			seq++
+			if _, err := wire.Call[report.Report, ack](ctx, c.client, methodReport, reportOn(bench.HostID(1), bench.PoolID(1), seq, n)); err != nil {
+				return err
+			}
+		}
+		size.Add(float64(n), (c.bytes()-bytes)/float64(p.Asks/2))
+		took.Add(float64(n), (processor()-cpu)/float64(p.Asks/2)*1e6)
+	}
+	size = r.Add("judge.verdict and answer, with HTTP/2", "verdicts", "bytes")
+	took = r.Add("judge.verdict, processor time of both sides", "verdicts", "us")
+	for _, n := range []int{0, 2, 8, 20} {
+		set := &model.VerdictSet{Pool: bench.PoolID(1), Judge: bench.HostID(1), Run: origin.Incarnation, Seq: 1000}
+		for i := range n {
+			set.List = append(set.List, model.Verdict{Target: bench.TargetID(i), Finding: model.FindFailing, Severity: 0.9, Answers: 120, Bad: 60, Base: 0.02, Score: 13.5, Times: 1})
+		}
+		bytes, cpu := c.bytes(), processor()
+		for range p.Asks / 2 {
+			if _, err := wire.Call[model.VerdictSet, ack](ctx, c.client, methodVerdict, set); err != nil {
+				return err
+			}
+		}
+		size.Add(float64(n), (c.bytes()-bytes)/float64(p.Asks/2))
+		took.Add(float64(n), (processor()-cpu)/float64(p.Asks/2)*1e6)
+	}
+	return nil
+}
--- /dev/null
+++ b/slope/fleets.go
@@ -0,0 +1,207 @@
+package slope
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"slices"
+	"time"
+
+	"rhubarbdrift.example/bench"
+	"rhubarbdrift.example/trend"
+)
+
+// fleetCustomers is the number of customers in the configuration of a fleet.
+// Each daemon of the process holds its own copy of it.
+const fleetCustomers = 2_000
+
+// measureFleets measures cells in quiet, during changes and during restarts.
+func measureFleets(ctx context.Context, p Plan, r *trend.Report) error {
+	beats := newCellSeries(r)
+	for _, s := range p.Members {
+		o, err := observe(ctx, p, s)
+		if err != nil {
+			return err
+		}
+		beats.add(s, o)
+	}
+	found := make(map[string]*trend.Series)
+	add := func(mechanism, x, unit string, at, y float64) {
+		key := mechanism + x + unit
+		if found[key] == nil {
+			found[key] = r.Add(mechanism, x, unit)
+		}
+		found[key].Add(at, y)
+	}
+	for _, s := range p.Leases {
+		o, err := observe(ctx, p, s)
+		if err != nil {
+			return err
+		}
+		if s.Cells == 1 {
+			name := fmt.Sprintf(", cell of %d", s.Members)
+			add("platform writes in quiet"+name, "shards", "calls/s", float64(s.Shards), o.writes)
+			add("platform reads in quiet"+name, "shards", "calls/s", float64(s.Shards), o.reads)
+			add("processor time per daemon with leases"+name, "shards", "% of a core", float64(s.Shards), o.cpu)
+		}
+		if s.Members == cellSize && s.Shards == mostShards(p) {
+			x, at := fmt.Sprintf("cells of 24, %d shards", s.Shards), float64(s.Cells)
+			add("platform writes in quiet", x, "calls/s", at, o.writes)
+			add("platform reads in quiet", x, "calls/s", at, o.reads)
+			add("platform calls of one change", x, "calls", at, o.changeCalls)
+			add("platform calls more while a tenth restarts", x, "calls", at, o.restartCalls)
+			add("change installed, p50", x, "ms", at, o.p50)
+			add("change installed, max", x, "ms", at, o.slowest)
+		}
+	}
+	return nil
+}
+
+func mostShards(p Plan) int {
+	most := 0
+	for _, s := range p.Leases {
+		most = max(most, s.Shards)
+	}
+	return most
+}
+
+// cellSeries are the costs of heartbeats by the number of members.
+type cellSeries struct {
+	messages, bytes, cpu, heap, reads, change, p50, slowest *trend.Series
+}
+
+func newCellSeries(r *trend.Report) *cellSeries {
+	return &cellSeries{
+		messages: r.Add("heartbeats per daemon, both ways", "members", "messages/s"),
+		bytes:    r.Add("heartbeats per daemon, both ways, with HTTP/2", "members", "bytes/s"),
+		cpu:      r.Add("heartbeats per daemon, processor time", "members", "% of a core"),
+		heap:     r.Add("one more member in a daemon's connections, heap", "members", "bytes"),
+		reads:    r.Add("platform calls of a cell in quiet, no leases", "members", "calls/s"),
+		change:   r.Add("one change per daemon, both ways", "members", "bytes"),
+		p50:      r.Add("change installed in a cell, p50", "members", "ms"),
+		slowest:  r.Add("change installed in a cell, max", "members", "ms"),
+	}
+}
+
+func (c *cellSeries) add(s bench.Shape, o observed) {
+	n := float64(s.Members)
+	c.messages.Add(n, o.messages)
+	c.bytes.Add(n, o.bytes)
+	c.cpu.Add(n, o.cpu)
+	c.heap.Add(n, o.heap)
+	c.reads.Add(n, o.reads+o.writes)
+	c.change.Add(n, o.changeBytes)
+	c.p50.Add(n, o.p50)
+	c.slowest.Add(n, o.slowest)
+}
+
+// observed is what one fleet cost: rates per daemon, calls of the fleet.
+type observed struct {
+	messages, bytes, cpu, heap float64
+	reads, writes              float64
+	changeCalls, changeBytes   float64
+	restartCalls               float64
+	p50, slowest               float64 // milliseconds
+}
+
+func observe(ctx context.Context, p Plan, s bench.Shape) (observed, error) {
+	before := heap()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f, err := bench.NewFleet(ctx, s, bench.Sample(fleetCustomers, fewRoutes, fewTargets))
+	if err != nil {
+		return observed{}, err
+	}
+	defer f.Close()
+	if err := bench.Sleep(ctx, p.Settle); err != nil {
+		return observed{}, err
+	}
+	var o observed
+	n := float64(len(f.Nodes))
+	o.heap = (heap() - before) / n
+	if err := quiet(ctx, f, p.Window, &o); err != nil {
+		return o, err
+	}
+	if err := changes(ctx, f, p, &o); err != nil {
+		return o, err
+	}
+	if s.Shards > 0 && s.Members == cellSize && s.Shards == mostShards(p) {
+		err = restarts(ctx, f, p, &o)
+	}
+	runtime.KeepAlive(f)
+	return o, err
+}
+
+// traffic returns the messages and the bytes of all nodes so far. Each message
+// is counted at its sender and at its receiver.
+func traffic(f *bench.Fleet) (messages, bytes float64) {
+	for _, n := range f.Nodes {
+		for _, m := range n.Counters.Methods() {
+			messages += float64(m.MessagesSent + m.MessagesReceived)
+		}
+		sent, received := n.Counters.Bytes()
+		bytes += float64(sent + received)
+	}
+	return messages, bytes
+}
+
+// quiet observes the fleet for a while without changes.
+func quiet(ctx context.Context, f *bench.Fleet, window time.Duration, o *observed) error {
+	n, seconds := float64(len(f.Nodes)), window.Seconds()
+	messages, bytes := traffic(f)
+	calls, cpu := f.Platform.Calls(), processor()
+	if err := bench.Sleep(ctx, window); err != nil {
+		return err
+	}
+	used := processor() - cpu
+	moreMessages, moreBytes := traffic(f)
+	c := f.Platform.Calls()
+	o.messages = (moreMessages - messages) / seconds / n
+	o.bytes = (moreBytes - bytes) / seconds / n
+	o.cpu = used / seconds / n * 100
+	o.writes = float64(c.Put+c.Delete-calls.Put-calls.Delete) / seconds
+	o.reads = float64(c.Total()-calls.Total())/seconds - o.writes
+	return nil
+}
+
+// changes measures some configuration changes in succession.
+func changes(ctx context.Context, f *bench.Fleet, p Plan, o *observed) error {
+	var all []time.Duration
+	_, bytes := traffic(f)
+	calls, begin := f.Platform.Calls(), time.Now()
+	for range p.Changes {
+		start := time.Now()
+		if err := f.Change(ctx); err != nil {
+			return err
+		}
+		took, err := f.Installed(ctx, start)
+		if err != nil {
+			return err
+		}
+		all = append(all, took...)
+	}
+	seconds, n := time.Since(begin).Seconds(), float64(p.Changes)
+	_, more := traffic(f)
+	o.changeCalls = (float64(f.Platform.Calls().Total()-calls.Total()) - (o.reads+o.writes)*seconds) / n
+	o.changeBytes = ((more-bytes)/float64(len(f.Nodes)) - o.bytes*seconds) / n
+	slices.Sort(all)
+	o.p50 = milliseconds(all[len(all)/2])
+	o.slowest = milliseconds(all[len(all)-1])
+	return nil
+}
+
+// restarts replaces a tenth of the daemons at once, without a planned stop.
+func restarts(ctx context.Context, f *bench.Fleet, p Plan, o *observed) error {
+	calls := f.Platform.Calls().Total()
+	for i := 0; i < len(f.Nodes); i += 10 {
+		f.Nodes[i].Stop()
+		if err := f.Nodes[i].Start(ctx, nil); err != nil {
+			return err
+		}
+	}
+	if err := bench.Sleep(ctx, p.Window); err != nil {
+		return err
+	}
+	o.restartCalls = float64(f.Platform.Calls().Total()-calls) - (o.reads+o.writes)*p.Window.Seconds()
+	return nil
+}
--- /dev/null
+++ b/slope/memory.go
@@ -0,0 +1,213 @@
+package slope
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"runtime"
+	"time"
+
+	"rhubarbdrift.example/bench"
+	"rhubarbdrift.example/conf"
+	"rhubarbdrift.example/judge"
+	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/pick"
+	"rhubarbdrift.example/quota"
+	"rhubarbdrift.example/report"
+	"rhubarbdrift.example/store"
+	"rhubarbdrift.example/trend"
+)
+
+// The sizes of the parts of a configuration that are not varied.
+const (
+	fewCustomers = 1_000
+	fewRoutes    = 200
+	fewTargets   = 400
+	pools        = bench.Pools
+	fleetSize    = 580
+	cellSize     = 24
+)
+
+// measureSnapshot measures the configuration that each daemon holds.
+func measureSnapshot(ctx context.Context, p Plan, r *trend.Report) error {
+	size := r.Add("conf snapshot, heap", "customers", "bytes")
+	load := r.Add("conf load, time", "customers", "ms")
+	whole := r.Add("conf load, chunks", "customers", "bytes")
+	change := r.Add("conf install of one changed chunk, time", "customers", "ms")
+	part := r.Add("conf changed chunk and root", "customers", "bytes")
+	for _, n := range p.Customers {
+		c, err := snapshotCosts(ctx, bench.Sample(n, fewRoutes, fewTargets))
+		if err != nil {
+			return err
+		}
+		size.Add(float64(n), c.heap)
+		load.Add(float64(n), c.load)
+		whole.Add(float64(n), c.whole)
+		change.Add(float64(n), c.change)
+		part.Add(float64(n), c.part)
+	}
+	size = r.Add("conf snapshot, heap", "routes", "bytes")
+	for _, n := range p.Routes {
+		c, err := snapshotCosts(ctx, bench.Sample(fewCustomers, n, fewTargets))
+		if err != nil {
+			return err
+		}
+		size.Add(float64(n), c.heap)
+	}
+	size = r.Add("conf snapshot, heap", "targets", "bytes")
+	for _, n := range p.Targets {
+		c, err := snapshotCosts(ctx, bench.Sample(fewCustomers, fewRoutes, n))
+		if err != nil {
+			return err
+		}
+		size.Add(float64(n), c.heap)
+	}
+	return nil
+}
+
+type costs struct{ heap, load, whole, change, part float64 }
+
+// snapshotCosts loads a configuration and then installs a change of a customer.
+func snapshotCosts(ctx context.Context, in *model.Intent) (costs, error) {
+	m := store.NewMem()
+	if err := bench.Commit(ctx, m, in, 1); err != nil {
+		return costs{}, err
+	}
+	var c costs
+	copied := func(d model.Digest) ([]byte, error) {
+		o, err := m.Get(ctx, store.KindChunk, string(d))
+		c.whole += float64(len(o.Value))
+		return bytes.Clone(o.Value), err
+	}
+	root, _, err := conf.ReadRoot(ctx, m)
+	if err != nil {
+		return costs{}, err
+	}
+	before := heap()
+	start := time.Now()
+	base, err := conf.Assemble(root, copied)
+	if err != nil {
+		return costs{}, err
+	}
+	c.load = milliseconds(time.Since(start))
+	c.heap = heap() - before
+	loaded := c.whole
+	in.Customers[0].Rate++
+	if err := bench.Commit(ctx, m, in, 2); err != nil {
+		return costs{}, err
+	}
+	if root, _, err = conf.ReadRoot(ctx, m); err != nil {
+		return costs{}, err
+	}
+	start = time.Now()
+	next, err := conf.Assemble(root, copied, conf.WithBase(base))
+	c.change = milliseconds(time.Since(start))
+	value, encodeErr := conf.EncodeRoot(&root)
+	if encodeErr != nil {
+		return costs{}, encodeErr
+	}
+	c.part = c.whole - loaded + float64(len(value))
+	c.whole = loaded
+	runtime.KeepAlive(next)
+	return c, err
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// measurePicker measures the table of targets of one daemon.
+func measurePicker(_ context.Context, p Plan, r *trend.Report) error {
+	size := r.Add("pick table, heap", "targets", "bytes")
+	took := r.Add("pick update after a change, time", "targets", "ms")
+	for _, n := range p.Targets {
+		in := bench.Sample(1, 1, n)
+		list := make([]*model.Pool, len(in.Pools))
+		for i := range in.Pools {
+			list[i] = &in.Pools[i]
+		}
+		var daemons []pick.Daemon
+		for i := range fleetSize {
+			daemons = append(daemons, pick.Daemon{Host: bench.HostID(i), Region: model.Region(fmt.Sprintf("region-%d", i%3)), Domain: model.Domain(fmt.Sprintf("domain-%d", i%10))})
+		}
+		before := heap()
+		picker := pick.New(daemons[0])
+		picker.Update(list, daemons)
+		size.Add(float64(n), heap()-before)
+		start := time.Now()
+		picker.Update(list, daemons)
+		took.Add(float64(n), milliseconds(time.Since(start)))
+		runtime.KeepAlive(picker)
+		runtime.KeepAlive(list)
+	}
+	return nil
+}
+
+// measureJudge measures a judge that a whole cell reports to.
+func measureJudge(_ context.Context, p Plan, r *trend.Report) error {
+	size := r.Add("judge with 24 reporters, heap", "targets", "bytes")
+	for _, n := range p.Targets {
+		before := heap()
+		j := judge.New("judge", "run")
+		for host := range cellSize {
+			for pool := range pools {
+				j.Handle(reportOn(bench.HostID(host), bench.PoolID(pool), 1, n/pools))
+			}
+		}
+		size.Add(float64(n), heap()-before)
+		runtime.KeepAlive(j)
+	}
+	return nil
+}
+
+// reportOn returns a report on rows targets without failures.
+func reportOn(from model.HostID, pool model.PoolID, seq uint64, rows int) *report.Report {
+	q := &report.Report{Pool: pool, From: report.Reporter{Host: from, Domain: "domain-1"}, Run: "0b0f3a3e-6b0a-4a57-93a5-6b1f3e0c2a11", Seq: seq}
+	for i := range rows {
+		q.Rows = append(q.Rows, report.Row{Target: model.TargetID(string(pool) + "/" + string(bench.TargetID(i))), Answers: 12})
+	}
+	return q
+}
+
+// all is the table of an owner of every shard.
+type all struct{}
+
+// Holds returns true.
+func (all) Holds(model.Shard) bool { return true }
+
+// Owner returns this host.
+func (all) Owner(model.Shard) (model.HostID, bool) { return "owner", true }
+
+// newOwner returns a running owner of all shards whose customers are known by rule.
+func newOwner(ctx context.Context, regions []model.Region, peers bench.NoRegion) (*quota.Owner, error) {
+	find := func(id model.CustomerID) (*model.Customer, bool) {
+		return &model.Customer{ID: id, Rate: 1000, Burst: 2000}, true
+	}
+	o := quota.NewOwner(regions[0], regions, all{}, find, store.NewMem(), peers)
+	go func() { _ = o.Run(ctx) }()
+	return o, bench.Sleep(ctx, ownerDelay)
+}
+
+// ownerDelay is longer than a new holder waits before its first grant.
+const ownerDelay = 2 * time.Second
+
+// measureBuckets measures the buckets that an owner keeps.
+func measureBuckets(ctx context.Context, p Plan, r *trend.Report) error {
+	size := r.Add("quota buckets at the owner, heap", "customers", "bytes")
+	for _, n := range p.Beyond {
+		c, cancel := context.WithCancel(ctx)
+		o, err := newOwner(c, []model.Region{"region-0"}, bench.NoRegion{})
+		if err == nil {
+			before := heap()
+			for i := range n {
+				id := model.CustomerID(fmt.Sprintf("customer-%05d", i))
+				_, _ = o.Take(ctx, quota.Take{From: quota.Origin{Host: "asker", Incarnation: "run", Region: "region-0"}, Seq: uint64(i + 1), Customer: id, Want: 1})
+			}
+			size.Add(float64(n), heap()-before)
+		}
+		runtime.KeepAlive(o)
+		cancel()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/slope/quota.go
@@ -0,0 +1,170 @@
+package slope
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"rhubarbdrift.example/bench"
+	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/quota"
+	"rhubarbdrift.example/trend"
+	"rhubarbdrift.example/wallet"
+	"rhubarbdrift.example/wire"
+)
+
+// peer is one connection between two daemons with counters at its client.
+type peer struct {
+	client   *wire.Client
+	counters *wire.Counters
+	stop     func()
+}
+
+// connect serves on an address of this machine and connects to it.
+func connect(ctx context.Context, register func(*wire.Server)) (*peer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	ln, err := new(net.ListenConfig).Listen(ctx, "tcp", "127.0.0.1:0")
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	s := wire.NewServer()
+	register(s)
+	var running sync.WaitGroup
+	running.Go(func() { _ = s.Serve(ctx, ln) })
+	p := &peer{counters: wire.NewCounters()}
+	pool := wire.NewPool(wire.WithCounters(p.counters))
+	p.client = pool.Client(ln.Addr().String())
+	p.stop = func() {
+		pool.Close()
+		cancel()
+		running.Wait()
+	}
+	return p, nil
+}
+
+// bytes returns the bytes on the connection in both directions.
+func (p *peer) bytes() float64 {
+	sent, received := p.counters.Bytes()
+	return float64(sent + received)
+}
+
+const methodTake = "quota.take"
+
+func owning(o *quota.Owner) func(*wire.Server) {
+	return func(s *wire.Server) {
+		wire.Handle(s, methodTake, func(ctx context.Context, t *quota.Take) (*quota.Answer, error) {
+			a := quota.AnswerOf(o.Take(ctx, *t))
+			return &a, nil
+		})
+	}
+}
+
+// asker passes a wallet's asks to the owner.
+type asker struct{ *peer }
+
+// Ask implements quota.Asker.
+func (a asker) Ask(ctx context.Context, _ model.Region, _ model.Shard, t quota.Take) (quota.Grant, error) {
+	answer, err := wire.Call[quota.Take, quota.Answer](ctx, a.client, methodTake, &t)
+	if err != nil {
+		return quota.Grant{}, quota.Unreached(err)
+	}
+	return answer.Result()
+}
+
+var origin = quota.Origin{Host: "host-001", Incarnation: "0b0f3a3e-6b0a-4a57-93a5-6b1f3e0c2a11", Region: "region-0"}
+
+// measureAsks measures single asks with zero to four reports each.
+func measureAsks(ctx context.Context, p Plan, r *trend.Report) error {
+	size := r.Add("quota.take ask and answer, with HTTP/2", "reports", "bytes")
+	took := r.Add("quota.take ask, processor time of both sides", "reports", "us")
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	o, err := newOwner(ctx, []model.Region{"region-0"}, bench.NoRegion{})
+	if err != nil {
+		return err
+	}
+	c, err := connect(ctx, owning(o))
+	if err != nil {
+		return err
+	}
+	defer c.stop()
+	seq := uint64(0)
+	for n := range 5 {
+		bytes, cpu := c.bytes(), processor()
+		for range p.Asks {
+			seq++
+			t := quota.Take{From: origin, Seq: seq, Customer: model.CustomerID(fmt.Sprintf("customer-%05d", seq%1000)), Want: 1, Seen: 1}
+			for i := range n {
+				t.Reports = append(t.Reports, quota.Report{Grant: 1<<55 + seq + uint64(i), Spent: 1})
+			}
+			if _, err := wire.Call[quota.Take, quota.Answer](ctx, c.client, methodTake, &t); err != nil {
+				return err
+			}
+		}
+		size.Add(float64(n), (c.bytes()-bytes)/float64(p.Asks))
+		took.Add(float64(n), (processor()-cpu)/float64(p.Asks)*1e6)
+	}
+	return nil
+}
+
+// measureWallet measures the asks of one daemon's wallet under load.
+func measureWallet(ctx context.Context, p Plan, r *trend.Report) error {
+	type kind struct {
+		name      string
+		customers int
+	}
+	for _, k := range []kind{{"busy customer", 1}, {"rare customers", 1 << 20}} {
+		asks := r.Add("wallet asks, "+k.name, "requests/s", "messages/s")
+		size := r.Add("wallet asks, "+k.name, "requests/s", "bytes/s")
+		cpu := r.Add("wallet and owner, "+k.name+", processor time", "requests/s", "% of a core")
+		for _, rate := range p.Busy {
+			m, b, c, err := walletLoad(ctx, rate, k.customers, p.Window/2)
+			if err != nil {
+				return err
+			}
+			asks.Add(float64(rate), m)
+			size.Add(float64(rate), b)
+			cpu.Add(float64(rate), c)
+		}
+	}
+	return nil
+}
+
+// walletLoad admits requests at a rate, spread over customers in turn.
+func walletLoad(ctx context.Context, rate, customers int, window time.Duration) (messages, bytes, cpu float64, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	o, err := newOwner(ctx, []model.Region{"region-0"}, bench.NoRegion{})
+	if err != nil {
+		return 0, 0, 0, err
+	}
+	c, err := connect(ctx, owning(o))
+	if err != nil {
+		return 0, 0, 0, err
+	}
+	defer c.stop()
+	w := wallet.New(origin, []model.Region{"region-0"}, asker{c})
+	var running sync.WaitGroup
+	running.Go(func() { _ = w.Run(ctx) })
+	defer running.Wait()
+	defer cancel()
+	start, before, used := time.Now(), c.bytes(), processor()
+	for i := range int(float64(rate) * window.Seconds()) {
+		due := start.Add(time.Duration(i) * time.Second / time.Duration(rate))
+		if err := bench.Sleep(ctx, time.Until(due)); err != nil {
+			return 0, 0, 0, err
+		}
+		running.Go(func() {
+			customer := &model.Customer{ID: model.CustomerID(fmt.Sprintf("customer-%05d", i%customers)), Rate: 1000, Burst: 2000}
+			if a, err := w.Admit(ctx, customer); err == nil {
+				a.Valid()
+			}
+		})
+	}
+	seconds := time.Since(start).Seconds()
+	m := c.counters.Methods()[methodTake]
+	return float64(m.MessagesSent+m.MessagesReceived) / seconds, (c.bytes() - before) / seconds, (processor() - used) / seconds * 100, nil
+}
--- /dev/null
+++ b/trend/doc.go
@@ -0,0 +1,12 @@
+// Package trend fits straight lines to costs measured at several sizes and
+// shows them as a table and as a plot.
+//
+// # Usage
+//
+//	r := new(trend.Report)
+//	s := r.Add("conf snapshot, heap", "customers", "bytes")
+//	s.Add(1000, 900_000)
+//	s.Add(2000, 1_800_000)
+//	s.Fit().Slope // 900 bytes per customer
+//	err := r.Print(os.Stdout)
+package trend
