slope: measure the host list

Cause: each daemon reads the whole list, so its bytes grow with the fleet. Change: a series for one reading at 38, 193 and 580 daemons; the plan is wrapped.

--- a/slope/memory.go
+++ b/slope/memory.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"runtime"
 	"time"
@@ -141,6 +142,30 @@
 	return nil
 }
 
+// measureHosts measures the answer to one reading of the host list.
+func measureHosts(ctx context.Context, p Plan, r *trend.Report) error {
+	size := r.Add("host list, one reading", "daemons", "bytes")
+	for _, n := range p.Hosts {
+		m := store.NewMem()
+		for i := range n {
+			m.SetHost(store.Host{
+				ID: bench.HostID(i), Address: fmt.Sprintf("10.1.%d.%d:7100", i/250, i%250),
+				Region: model.Region(fmt.Sprintf("region-%d", i%3)), Domain: model.Domain(fmt.Sprintf("domain-%d", i%10)),
+			})
+		}
+		list, err := m.Hosts(ctx)
+		if err != nil {
+			return err
+		}
+		body, err := json.Marshal(list)
+		if err != nil {
+			return err
+		}
+		size.Add(float64(n), float64(len(body)))
+	}
+	return nil
+}
+
 // measureJudge measures a judge that a whole cell reports to.
 func measureJudge(_ context.Context, p Plan, r *trend.Report) error {
 	size := r.Add("judge with 24 reporters, heap", "targets", "bytes")
--- a/slope/slope.go
+++ b/slope/slope.go
@@ -12,15 +12,15 @@
 
 // Plan holds the sizes and times of a measurement.
 type Plan struct {
-	Customers, Routes, Targets []int
-	Members                    []bench.Shape // cells without leases
-	Leases                     []bench.Shape // fleets with leases
-	Settle, Window             time.Duration
-	Changes                    int // configuration changes for each fleet
-	Asks                       int // token asks that are averaged
-	Busy                       []int
-	Rows                       []int
-	Beyond                     []int // customers of an owner
+	Customers, Routes, Targets, Hosts []int
+	Members                           []bench.Shape // cells without leases
+	Leases                            []bench.Shape // fleets with leases
+	Settle, Window                    time.Duration
+	Changes                           int // configuration changes for each fleet
+	Asks                              int // token asks that are averaged
+	Busy                              []int
+	Rows                              []int
+	Beyond                            []int // customers of an owner
 }
 
 // Full covers the sizes up to the large one of docs/design.md, 1.6. It takes
@@ -29,9 +29,12 @@
 	Customers: []int{1_000, 6_500, 13_000, 26_000},
 	Routes:    []int{200, 900, 1_800, 3_700},
 	Targets:   []int{400, 2_000, 4_000, 7_900},
+	Hosts:     []int{38, 193, 580},
 	Members:   []bench.Shape{{Cells: 1, Members: 6, Shards: 0}, {Cells: 1, Members: 12, Shards: 0}, {Cells: 1, Members: 24, Shards: 0}},
 	Leases: []bench.Shape{
-		{Cells: 1, Members: 12, Shards: 16}, {Cells: 1, Members: 12, Shards: 32}, {Cells: 1, Members: 12, Shards: 64}, {Cells: 1, Members: 24, Shards: 16}, {Cells: 1, Members: 24, Shards: 32}, {Cells: 1, Members: 24, Shards: 64}, {Cells: 2, Members: 24, Shards: 64}, {Cells: 4, Members: 24, Shards: 64},
+		{Cells: 1, Members: 12, Shards: 16}, {Cells: 1, Members: 12, Shards: 32}, {Cells: 1, Members: 12, Shards: 64},
+		{Cells: 1, Members: 24, Shards: 16}, {Cells: 1, Members: 24, Shards: 32}, {Cells: 1, Members: 24, Shards: 64},
+		{Cells: 2, Members: 24, Shards: 64}, {Cells: 4, Members: 24, Shards: 64},
 	},
 	Settle: 8 * time.Second, Window: 8 * time.Second, Changes: 6, Asks: 5_000,
 	Busy: []int{50, 200, 800}, Rows: []int{1, 4, 16, 40}, Beyond: []int{1_000, 4_000, 16_000},
@@ -41,7 +44,7 @@
 func Measure(ctx context.Context, p Plan) (*trend.Report, error) {
 	r := new(trend.Report)
 	steps := []func(context.Context, Plan, *trend.Report) error{
-		measureSnapshot, measurePicker, measureJudge, measureBuckets,
+		measureSnapshot, measurePicker, measureHosts, measureJudge, measureBuckets,
 		measureAsks, measureWallet, measureEvidence, measureFleets,
 	}
 	for _, step := range steps {
--- a/slope/slope_test.go
+++ b/slope/slope_test.go
@@ -17,7 +17,7 @@
 // or draws an invalid plot. It takes tiny sizes, so its values mean nothing.
 func TestMeasure(t *testing.T) {
 	tiny := Plan{
-		Customers: []int{10}, Routes: []int{10}, Targets: []int{pools}, Members: []bench.Shape{{Cells: 1, Members: 3}},
+		Customers: []int{10}, Routes: []int{10}, Targets: []int{pools}, Hosts: []int{3}, Members: []bench.Shape{{Cells: 1, Members: 3}},
 		Leases: []bench.Shape{{Cells: 1, Members: 3, Shards: 2}}, Settle: 4 * time.Second, Window: time.Second, Changes: 1, Asks: 10,
 		Busy: []int{20}, Rows: []int{1}, Beyond: []int{10},
 	}
