--- a/bench/config.go
+++ b/inproc/config.go
@@ -1,4 +1,4 @@
-package bench
+package inproc
 
 import (
 	"context"
--- a/slope/evidence.go
+++ b/slope/evidence.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 
-	"rhubarbdrift.example/bench"
+	"rhubarbdrift.example/inproc"
 	"rhubarbdrift.example/judge"
 	"rhubarbdrift.example/model"
 	"rhubarbdrift.example/report"
@@ -40,7 +40,7 @@
 		bytes, cpu := c.bytes(), processor()
 		for range p.Asks / 2 {
 			seq++
-			if _, err := wire.Call[report.Report, ack](ctx, c.client, methodReport, reportOn(bench.HostID(1), bench.PoolID(1), seq, n)); err != nil {
+			if _, err := wire.Call[report.Report, ack](ctx, c.client, methodReport, reportOn(inproc.HostID(1), inproc.PoolID(1), seq, n)); err != nil {
 				return err
 			}
 		}
@@ -50,9 +50,9 @@
 	size = r.Add("judge.verdict and answer, with HTTP/2", "verdicts", "bytes")
 	took = r.Add("judge.verdict, processor time of both sides", "verdicts", "us")
 	for _, n := range []int{0, 2, 8, 20} {
-		set := &model.VerdictSet{Pool: bench.PoolID(1), Judge: bench.HostID(1), Run: origin.Incarnation, Seq: 1000}
+		set := &model.VerdictSet{Pool: inproc.PoolID(1), Judge: inproc.HostID(1), Run: origin.Incarnation, Seq: 1000}
 		for i := range n {
-			set.List = append(set.List, model.Verdict{Target: bench.TargetID(i), Finding: model.FindFailing, Severity: 0.9, Answers: 120, Bad: 60, Base: 0.02, Score: 13.5, Times: 1})
+			set.List = append(set.List, model.Verdict{Target: inproc.TargetID(i), Finding: model.FindFailing, Severity: 0.9, Answers: 120, Bad: 60, Base: 0.02, Score: 13.5, Times: 1})
 		}
 		bytes, cpu := c.bytes(), processor()
 		for range p.Asks / 2 {
--- a/slope/fleets.go
+++ b/slope/fleets.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"rhubarbdrift.example/bench"
+	"rhubarbdrift.example/inproc"
 	"rhubarbdrift.example/trend"
 )
 
@@ -87,7 +87,7 @@
 	}
 }
 
-func (c *cellSeries) add(s bench.Shape, o observed) {
+func (c *cellSeries) add(s inproc.Shape, o observed) {
 	n := float64(s.Members)
 	c.messages.Add(n, o.messages)
 	c.bytes.Add(n, o.bytes)
@@ -109,16 +109,16 @@
 	p50, slowest               float64 // milliseconds
 }
 
-func observe(ctx context.Context, p Plan, s bench.Shape) (observed, error) {
+func observe(ctx context.Context, p Plan, s inproc.Shape) (observed, error) {
 	before := heap()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	f, err := bench.NewFleet(ctx, s, bench.Sample(fleetCustomers, fewRoutes, fewTargets))
+	f, err := inproc.NewFleet(ctx, s, inproc.Sample(fleetCustomers, fewRoutes, fewTargets))
 	if err != nil {
 		return observed{}, err
 	}
 	defer f.Close()
-	if err := bench.Sleep(ctx, p.Settle); err != nil {
+	if err := inproc.Sleep(ctx, p.Settle); err != nil {
 		return observed{}, err
 	}
 	var o observed
@@ -142,7 +142,7 @@
 
 // traffic returns the messages and the bytes of all nodes so far. Each message
 // is counted at its sender and at its receiver.
-func traffic(f *bench.Fleet) (messages, bytes float64) {
+func traffic(f *inproc.Fleet) (messages, bytes float64) {
 	for _, n := range f.Nodes {
 		for _, m := range n.Counters.Methods() {
 			messages += float64(m.MessagesSent + m.MessagesReceived)
@@ -154,11 +154,11 @@
 }
 
 // quiet observes the fleet for a while without changes.
-func quiet(ctx context.Context, f *bench.Fleet, window time.Duration, o *observed) error {
+func quiet(ctx context.Context, f *inproc.Fleet, window time.Duration, o *observed) error {
 	n, seconds := float64(len(f.Nodes)), window.Seconds()
 	messages, bytes := traffic(f)
 	calls, cpu := f.Platform.Calls(), processor()
-	if err := bench.Sleep(ctx, window); err != nil {
+	if err := inproc.Sleep(ctx, window); err != nil {
 		return err
 	}
 	used := processor() - cpu
@@ -173,7 +173,7 @@
 }
 
 // changes measures some configuration changes in succession.
-func changes(ctx context.Context, f *bench.Fleet, p Plan, o *observed) error {
+func changes(ctx context.Context, f *inproc.Fleet, p Plan, o *observed) error {
 	var all []time.Duration
 	_, bytes := traffic(f)
 	calls, begin := f.Platform.Calls(), time.Now()
@@ -199,7 +199,7 @@
 }
 
 // restarts replaces a tenth of the daemons at once, without a planned stop.
-func restarts(ctx context.Context, f *bench.Fleet, p Plan, o *observed) error {
+func restarts(ctx context.Context, f *inproc.Fleet, p Plan, o *observed) error {
 	calls := f.Platform.Calls().Total()
 	for i := 0; i < len(f.Nodes); i += 10 {
 		f.Nodes[i].Stop()
@@ -207,7 +207,7 @@
 			return err
 		}
 	}
-	if err := bench.Sleep(ctx, p.Window); err != nil {
+	if err := inproc.Sleep(ctx, p.Window); err != nil {
 		return err
 	}
 	o.restartCalls = float64(f.Platform.Calls().Total()-calls) - (o.reads+o.writes)*p.Window.Seconds()
@@ -218,15 +218,15 @@
 const outageDelay = 10 * time.Second
 
 // outage measures the votes by which the holders of leases go on.
-func outage(ctx context.Context, f *bench.Fleet, p Plan, o *observed) error {
+func outage(ctx context.Context, f *inproc.Fleet, p Plan, o *observed) error {
 	f.Platform.SetUnavailable(true)
 	defer f.Platform.SetUnavailable(false)
-	if err := bench.Sleep(ctx, outageDelay); err != nil {
+	if err := inproc.Sleep(ctx, outageDelay); err != nil {
 		return err
 	}
 	_, bytes := traffic(f)
 	cpu := processor()
-	if err := bench.Sleep(ctx, p.Window); err != nil {
+	if err := inproc.Sleep(ctx, p.Window); err != nil {
 		return err
 	}
 	used := processor() - cpu
--- a/slope/memory.go
+++ b/slope/memory.go
@@ -8,7 +8,7 @@
 	"runtime"
 	"time"
 
-	"rhubarbdrift.example/bench"
+	"rhubarbdrift.example/inproc"
 	"rhubarbdrift.example/conf"
 	"rhubarbdrift.example/judge"
 	"rhubarbdrift.example/model"
@@ -24,7 +24,7 @@
 	fewCustomers = 1_000
 	fewRoutes    = 200
 	fewTargets   = 400
-	pools        = bench.Pools
+	pools        = inproc.Pools
 	fleetSize    = 580
 	cellSize     = 24
 )
@@ -37,7 +37,7 @@
 	change := r.Add("conf install of one changed chunk, time", "customers", "ms")
 	part := r.Add("conf changed chunk and root", "customers", "bytes")
 	for _, n := range p.Customers {
-		c, err := snapshotCosts(ctx, bench.Sample(n, fewRoutes, fewTargets))
+		c, err := snapshotCosts(ctx, inproc.Sample(n, fewRoutes, fewTargets))
 		if err != nil {
 			return err
 		}
@@ -49,7 +49,7 @@
 	}
 	size = r.Add("conf snapshot, heap", "routes", "bytes")
 	for _, n := range p.Routes {
-		c, err := snapshotCosts(ctx, bench.Sample(fewCustomers, n, fewTargets))
+		c, err := snapshotCosts(ctx, inproc.Sample(fewCustomers, n, fewTargets))
 		if err != nil {
 			return err
 		}
@@ -57,7 +57,7 @@
 	}
 	size = r.Add("conf snapshot, heap", "targets", "bytes")
 	for _, n := range p.Targets {
-		c, err := snapshotCosts(ctx, bench.Sample(fewCustomers, fewRoutes, n))
+		c, err := snapshotCosts(ctx, inproc.Sample(fewCustomers, fewRoutes, n))
 		if err != nil {
 			return err
 		}
@@ -71,7 +71,7 @@
 // snapshotCosts loads a configuration and then installs a change of a customer.
 func snapshotCosts(ctx context.Context, in *model.Intent) (costs, error) {
 	m := store.NewMem()
-	if err := bench.Commit(ctx, m, in, 1); err != nil {
+	if err := inproc.Commit(ctx, m, in, 1); err != nil {
 		return costs{}, err
 	}
 	var c costs
@@ -94,7 +94,7 @@
 	c.heap = heap() - before
 	loaded := c.whole
 	in.Customers[0].Rate++
-	if err := bench.Commit(ctx, m, in, 2); err != nil {
+	if err := inproc.Commit(ctx, m, in, 2); err != nil {
 		return costs{}, err
 	}
 	if root, _, err = conf.ReadRoot(ctx, m); err != nil {
@@ -120,14 +120,14 @@
 	size := r.Add("pick table, heap", "targets", "bytes")
 	took := r.Add("pick update after a change, time", "targets", "ms")
 	for _, n := range p.Targets {
-		in := bench.Sample(1, 1, n)
+		in := inproc.Sample(1, 1, n)
 		list := make([]*model.Pool, len(in.Pools))
 		for i := range in.Pools {
 			list[i] = &in.Pools[i]
 		}
 		var daemons []pick.Daemon
 		for i := range fleetSize {
-			daemons = append(daemons, pick.Daemon{Host: bench.HostID(i), Region: model.Region(fmt.Sprintf("region-%d", i%3)), Domain: model.Domain(fmt.Sprintf("domain-%d", i%10))})
+			daemons = append(daemons, pick.Daemon{Host: inproc.HostID(i), Region: model.Region(fmt.Sprintf("region-%d", i%3)), Domain: model.Domain(fmt.Sprintf("domain-%d", i%10))})
 		}
 		before := heap()
 		picker := pick.New(daemons[0])
@@ -149,7 +149,7 @@
 		m := store.NewMem()
 		for i := range n {
 			m.SetHost(store.Host{
-				ID: bench.HostID(i), Address: fmt.Sprintf("10.1.%d.%d:7100", i/250, i%250),
+				ID: inproc.HostID(i), Address: fmt.Sprintf("10.1.%d.%d:7100", i/250, i%250),
 				Region: model.Region(fmt.Sprintf("region-%d", i%3)), Domain: model.Domain(fmt.Sprintf("domain-%d", i%10)),
 			})
 		}
@@ -174,7 +174,7 @@
 		j := judge.New("judge", "run")
 		for host := range cellSize {
 			for pool := range pools {
-				j.Handle(reportOn(bench.HostID(host), bench.PoolID(pool), 1, n/pools))
+				j.Handle(reportOn(inproc.HostID(host), inproc.PoolID(pool), 1, n/pools))
 			}
 		}
 		size.Add(float64(n), heap()-before)
@@ -187,7 +187,7 @@
 func reportOn(from model.HostID, pool model.PoolID, seq uint64, rows int) *report.Report {
 	q := &report.Report{Pool: pool, From: report.Reporter{Host: from, Domain: "domain-1"}, Run: "0b0f3a3e-6b0a-4a57-93a5-6b1f3e0c2a11", Seq: seq}
 	for i := range rows {
-		q.Rows = append(q.Rows, report.Row{Target: model.TargetID(string(pool) + "/" + string(bench.TargetID(i))), Answers: 12})
+		q.Rows = append(q.Rows, report.Row{Target: model.TargetID(string(pool) + "/" + string(inproc.TargetID(i))), Answers: 12})
 	}
 	return q
 }
@@ -202,13 +202,13 @@
 func (all) Owner(model.Shard) (model.HostID, bool) { return "owner", true }
 
 // newOwner returns a running owner of all shards whose customers are known by rule.
-func newOwner(ctx context.Context, regions []model.Region, peers bench.NoRegion) (*quota.Owner, error) {
+func newOwner(ctx context.Context, regions []model.Region, peers inproc.NoRegion) (*quota.Owner, error) {
 	find := func(id model.CustomerID) (*model.Customer, bool) {
 		return &model.Customer{ID: id, Rate: 1000, Burst: 2000}, true
 	}
 	o := quota.NewOwner(regions[0], regions, all{}, find, store.NewMem(), peers)
 	go func() { _ = o.Run(ctx) }()
-	return o, bench.Sleep(ctx, ownerDelay)
+	return o, inproc.Sleep(ctx, ownerDelay)
 }
 
 // ownerDelay is longer than a new holder waits before its first grant.
@@ -219,7 +219,7 @@
 	size := r.Add("quota buckets at the owner, heap", "customers", "bytes")
 	for _, n := range p.Beyond {
 		c, cancel := context.WithCancel(ctx)
-		o, err := newOwner(c, []model.Region{"region-0"}, bench.NoRegion{})
+		o, err := newOwner(c, []model.Region{"region-0"}, inproc.NoRegion{})
 		if err == nil {
 			before := heap()
 			for i := range n {
--- a/slope/quota.go
+++ b/slope/quota.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"rhubarbdrift.example/bench"
+	"rhubarbdrift.example/inproc"
 	"rhubarbdrift.example/model"
 	"rhubarbdrift.example/quota"
 	"rhubarbdrift.example/trend"
@@ -82,7 +82,7 @@
 	took := r.Add("quota.take ask, processor time of both sides", "reports", "us")
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	o, err := newOwner(ctx, []model.Region{"region-0"}, bench.NoRegion{})
+	o, err := newOwner(ctx, []model.Region{"region-0"}, inproc.NoRegion{})
 	if err != nil {
 		return err
 	}
@@ -137,7 +137,7 @@
 func walletLoad(ctx context.Context, rate, customers int, window time.Duration) (messages, bytes, cpu float64, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	o, err := newOwner(ctx, []model.Region{"region-0"}, bench.NoRegion{})
+	o, err := newOwner(ctx, []model.Region{"region-0"}, inproc.NoRegion{})
 	if err != nil {
 		return 0, 0, 0, err
 	}
@@ -154,7 +154,7 @@
 	start, before, used := time.Now(), c.bytes(), processor()
 	for i := range int(float64(rate) * window.Seconds()) {
 		due := start.Add(time.Duration(i) * time.Second / time.Duration(rate))
-		if err := bench.Sleep(ctx, time.Until(due)); err != nil {
+		if err := inproc.Sleep(ctx, time.Until(due)); err != nil {
 			return 0, 0, 0, err
 		}
 		running.Go(func() {
--- a/slope/slope.go
+++ b/slope/slope.go
@@ -6,15 +6,15 @@
 	"syscall"
 	"time"
 
-	"rhubarbdrift.example/bench"
+	"rhubarbdrift.example/inproc"
 	"rhubarbdrift.example/trend"
 )
 
 // Plan holds the sizes and times of a measurement.
 type Plan struct {
 	Customers, Routes, Targets, Hosts []int
-	Members                           []bench.Shape // cells without leases
-	Leases                            []bench.Shape // fleets with leases
+	Members                           []inproc.Shape // cells without leases
+	Leases                            []inproc.Shape // fleets with leases
 	Settle, Window                    time.Duration
 	Changes                           int // configuration changes for each fleet
 	Asks                              int // token asks that are averaged
@@ -30,8 +30,8 @@
 	Routes:    []int{200, 900, 1_800, 3_700},
 	Targets:   []int{400, 2_000, 4_000, 7_900},
 	Hosts:     []int{38, 193, 580},
-	Members:   []bench.Shape{{Cells: 1, Members: 6, Shards: 0}, {Cells: 1, Members: 12, Shards: 0}, {Cells: 1, Members: 24, Shards: 0}},
-	Leases: []bench.Shape{
+	Members:   []inproc.Shape{{Cells: 1, Members: 6, Shards: 0}, {Cells: 1, Members: 12, Shards: 0}, {Cells: 1, Members: 24, Shards: 0}},
+	Leases: []inproc.Shape{
 		{Cells: 1, Members: 12, Shards: 16}, {Cells: 1, Members: 12, Shards: 32}, {Cells: 1, Members: 12, Shards: 64},
 		{Cells: 1, Members: 24, Shards: 16}, {Cells: 1, Members: 24, Shards: 32}, {Cells: 1, Members: 24, Shards: 64},
 		{Cells: 2, Members: 24, Shards: 64}, {Cells: 4, Members: 24, Shards: 64},
--- a/slope/slope_test.go
+++ b/slope/slope_test.go
@@ -10,15 +10,15 @@
 
 	"github.com/shoenig/test/must"
 
-	"rhubarbdrift.example/bench"
+	"rhubarbdrift.example/inproc"
 )
 
 // TestMeasure guards against a measurement that fails, leaves a series empty
 // or draws an invalid plot. It takes tiny sizes, so its values mean nothing.
 func TestMeasure(t *testing.T) {
 	tiny := Plan{
-		Customers: []int{10}, Routes: []int{10}, Targets: []int{pools}, Hosts: []int{3}, Members: []bench.Shape{{Cells: 1, Members: 3}},
-		Leases: []bench.Shape{{Cells: 1, Members: 3, Shards: 2}}, Settle: 4 * time.Second, Window: time.Second, Changes: 1, Asks: 10,
+		Customers: []int{10}, Routes: []int{10}, Targets: []int{pools}, Hosts: []int{3}, Members: []inproc.Shape{{Cells: 1, Members: 3}},
+		Leases: []inproc.Shape{{Cells: 1, Members: 3, Shards: 2}}, Settle: 4 * time.Second, Window: time.Second, Changes: 1, Asks: 10,
 		Busy: []int{20}, Rows: []int{1}, Beyond: []int{10},
 	}
 	r, err := Measure(t.Context(), tiny)
