--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets are run by developers and CI alike. See README.md.
-.PHONY: all build demo fmt lint vet unit test
+.PHONY: all build demo fmt lint vet unit measure test
 
 LINT = go tool -modfile=tools/go.mod golangci-lint
 
@@ -23,4 +23,8 @@
 unit:
 	go test -race -count=1 ./...
 
+# Prints the figures of docs/measures.md; takes some minutes.
+measure:
+	go test -run '^TestMeasure$$' -count=1 -v ./gauge -long
+
 test: lint vet unit
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -39,7 +39,7 @@
 // Regions lists the simulated regions.
 var Regions = []model.Region{"north", "south"}
 
-// Hosts is the number of daemons per region.
+// Hosts is the number of daemons per region of New.
 const Hosts = 4
 
 // Faults are the switches of a simulation.
@@ -59,6 +59,8 @@
 
 	ctx   context.Context
 	start time.Time
+	hosts int // per region
+	seed  uint64
 	tasks sync.WaitGroup
 
 	mu       sync.Mutex
@@ -76,19 +78,29 @@
 
 // New starts the owners of a fleet. Requests are offered until end.
 func New(ctx context.Context, seed uint64, c *model.Customer, end time.Duration) *Fleet {
+	return NewSized(ctx, seed, c, end, Hosts)
+}
+
+// NewSized is New with another number of daemons per region.
+func NewSized(ctx context.Context, seed uint64, c *model.Customer, end time.Duration, hosts int) *Fleet {
 	f := &Fleet{
-		Customer: c, Platform: store.NewMem(),
+		Customer: c, Platform: store.NewMem(), hosts: hosts, seed: seed,
 		ctx: ctx, rng: rand.New(rand.NewPCG(seed, 1)), start: time.Now(), end: end,
 		holder: map[model.Region]int{}, terms: map[model.Region]uint64{}, owners: map[model.Region][]*quota.Owner{},
 	}
 	f.Platform.SetDelay(2 * time.Millisecond)
 	for _, r := range Regions {
-		for i := range Hosts {
+		for i := range hosts {
 			find := func(model.CustomerID) (*model.Customer, bool) { return c, true }
 			o := quota.NewOwner(r, Regions, table{f, r, i}, find, platform{f.Platform, f}, f,
 				quota.WithOwnerClock(f.clock()), quota.WithOwnerShards(1))
 			f.owners[r] = append(f.owners[r], o)
-			f.tasks.Go(func() { _ = o.Run(ctx) })
+			after := time.Duration(f.rng.IntN(int(time.Millisecond)))
+			f.tasks.Go(func() {
+				// Owners with the same phase would race for the shares' objects.
+				time.Sleep(after)
+				_ = o.Run(ctx)
+			})
 		}
 	}
 	return f
@@ -162,7 +174,7 @@
 		f.mu.Unlock()
 		return
 	}
-	next := (f.holder[r] + 1 + f.rng.IntN(Hosts)) % Hosts // may be the same host
+	next := (f.holder[r] + 1 + f.rng.IntN(f.hosts)) % f.hosts // may be the same host
 	f.holder[r] = -1
 	f.mu.Unlock()
 	time.Sleep(quota.Longest + 5*time.Millisecond)
@@ -182,7 +194,9 @@
 	if from != to {
 		base = 12 * time.Millisecond
 	}
-	time.Sleep(time.Duration(float64(base) * (0.4 + 0.2*f.Random())))
+	// Drawn from the time, because the order of draws at the same time varies.
+	part := rand.New(rand.NewPCG(f.seed, uint64(f.Elapsed()))).Float64()
+	time.Sleep(time.Duration(float64(base) * (0.4 + 0.2*part)))
 }
 
 // Wish implements quota.Peers. The sender's region is part of the wish.
--- a/trial/fleet.go
+++ b/trial/fleet.go
@@ -92,6 +92,7 @@
 	Picks    map[model.TargetID]int
 	Refused  int
 	Ejected  []Ejection // in the order of time
+	Local    int        // ejections by single daemons, of the naive policy
 
 	shape  Shape
 	start  time.Time
@@ -321,6 +322,7 @@
 	}
 	d.row[a.Target.ID]++
 	if d.row[a.Target.ID] == naiveErrors {
+		f.Local++
 		d.bad.Seq++
 		d.bad.List = append(d.bad.List, model.Verdict{Target: a.Target.ID, Finding: model.FindFailing, Severity: 1})
 		d.Picker.Apply(&d.bad)
