gauge: measure a fleet with the surging customer's limits on

Cause: the measure of a fleet under overload had no limits, while the product cuts a customer to its rate before its requests reach the queue. Change: a third variant sends the surging customer's requests through the wallets and owners of its limits; long size only.

--- a/gauge/crowd.go
+++ b/gauge/crowd.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"rhubarbdrift.example/fleet"
 	"rhubarbdrift.example/model"
 	"rhubarbdrift.example/queue"
 )
@@ -95,6 +96,7 @@
 type crowding struct {
 	ctx    context.Context
 	server server
+	limits []fleet.Policy // of the last customer on each daemon; none: no limits
 	mu     sync.Mutex
 	got    []service
 }
@@ -104,12 +106,21 @@
 	return rank(list, 0.99)
 }
 
-// serve offers requests for a time; the last customer sends the given multiple.
+// serve offers requests for a time; the last customer sends the given multiple
+// of its rate, which its limits cut if they are on.
 // Arrivals and service times do not depend on the policy or on the multiple.
-func (g *Gauge) serve(n int, multiple float64, policy func() server) []service {
+func (g *Gauge) serve(n int, multiple float64, limits bool, policy func() server) []service {
 	c := &crowding{got: make([]service, len(loads))}
 	g.Bubble(func() {
-		c.ctx, c.server = context.Background(), policy()
+		ctx, cancel := context.WithCancel(context.Background())
+		c.ctx, c.server = ctx, policy()
+		wait := func() {}
+		if limits {
+			rate := loads[len(loads)-1] * float64(n) / (leastWork + meanWork).Seconds()
+			var f *fleet.Fleet
+			f, c.limits = limited(ctx, &model.Customer{ID: "surge", Rate: model.Rate(rate), Burst: model.Burst(rate)}, Ours, crowdSeed)
+			wait = f.Wait
+		}
 		var tasks sync.WaitGroup
 		for i, part := range loads {
 			if i == len(loads)-1 {
@@ -121,7 +132,9 @@
 			}
 		}
 		tasks.Wait()
-		time.Sleep(time.Second) // the queue's goroutine ends
+		cancel()
+		wait()
+		time.Sleep(time.Second) // writes under way and the queue's goroutine end
 	})
 	return c.got
 }
@@ -144,7 +157,7 @@
 
 func (c *crowding) request(customer int, r *request) {
 	start := time.Now()
-	ok := c.server(c.ctx, r)
+	ok := c.admit(customer, r) && c.server(c.ctx, r)
 	took := time.Since(start)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -155,22 +168,33 @@
 	}
 }
 
+// admit applies the limits of the last customer.
+func (c *crowding) admit(customer int, r *request) bool {
+	if len(c.limits) == 0 || customer < len(loads)-1 {
+		return true
+	}
+	commit, err := c.limits[r.seed%uint64(len(c.limits))](c.ctx)
+	return err == nil && commit()
+}
+
 // crowd measures the worst of the other customers while one sends ten times
 // its rate, in parts of what each receives without that customer.
 func (g *Gauge) crowd(p Pool) []Line {
-	out := g.worst(p.Name+": one queue, worst customer, ", p.Targets*int(p.Slots), p.alone())
+	n := p.Targets * int(p.Slots)
+	out := g.worst(p.Name+": one queue, worst customer, ", n, false, p.alone(), Ours, First)
 	if !g.Fleet {
 		return out
 	}
-	return append(out, g.worst(p.Name+": fleet, worst customer, ", p.Targets*int(p.Slots), p.fleet())...)
+	out = append(out, g.worst(p.Name+": fleet, worst customer, ", n, false, p.fleet(), Ours, First)...)
+	return append(out, g.worst(p.Name+": fleet with limits, worst customer, ", n, true, p.fleet(), Ours)...)
 }
 
-func (g *Gauge) worst(name string, n int, policies map[string]func() server) []Line {
-	base := g.serve(n, 0, policies[Ours])
+func (g *Gauge) worst(name string, n int, limits bool, policies map[string]func() server, names ...string) []Line {
+	base := g.serve(n, 0, limits, policies[Ours])
 	var out []Line
-	for _, policy := range []string{Ours, First} {
+	for _, policy := range names {
 		whole, part, worst, longer := 1.0, 1.0, time.Duration(0), 0.0
-		for i, with := range g.serve(n, surge, policies[policy])[:len(loads)-1] {
+		for i, with := range g.serve(n, surge, limits, policies[policy])[:len(loads)-1] {
 			was := base[i]
 			q, before := p99(with.took), p99(was.took)
 			whole = min(whole, float64(len(with.took))/float64(with.wanted))
--- a/gauge/gauge.go
+++ b/gauge/gauge.go
@@ -126,7 +126,7 @@
 			bound += " MISSED " + l.Note
 		}
 	}
-	return fmt.Sprintf("%-60s %-12s %10.3f %-7s %s", l.Measure, l.Policy, l.Value, l.Unit, bound)
+	return fmt.Sprintf("%-68s %-12s %10.3f %-7s %s", l.Measure, l.Policy, l.Value, l.Unit, bound)
 }
 
 // Gauge measures.
--- a/gauge/limits.go
+++ b/gauge/limits.go
@@ -80,19 +80,7 @@
 	t := new(tally)
 	g.Bubble(func() {
 		ctx, cancel := context.WithCancel(context.Background())
-		f := fleet.NewSized(ctx, seed, c, 0, perRegion)
-		time.Sleep(startTime)
-		var daemons []fleet.Policy
-		for _, r := range fleet.Regions {
-			for i := range perRegion {
-				time.Sleep(stagger)
-				if policy == Even {
-					daemons = append(daemons, evenSplit(c))
-				} else {
-					daemons = append(daemons, f.Granted(r, i))
-				}
-			}
-		}
+		f, daemons := limited(ctx, c, policy, seed)
 		t.offer(ctx, c, p, daemons, seed, g.Limits)
 		cancel()
 		f.Wait()
@@ -101,6 +89,25 @@
 	return t
 }
 
+// limited starts the owners of a customer's limits and returns the policies of
+// all daemons.
+func limited(ctx context.Context, c *model.Customer, policy string, seed uint64) (*fleet.Fleet, []fleet.Policy) {
+	f := fleet.NewSized(ctx, seed, c, 0, perRegion)
+	time.Sleep(startTime)
+	var daemons []fleet.Policy
+	for _, r := range fleet.Regions {
+		for i := range perRegion {
+			time.Sleep(stagger)
+			if policy == Even {
+				daemons = append(daemons, evenSplit(c))
+			} else {
+				daemons = append(daemons, f.Granted(r, i))
+			}
+		}
+	}
+	return f, daemons
+}
+
 // offer sends one stream of requests with gaps that vary by half, and waits
 // for its end. The stream moves in the middle.
 func (t *tally) offer(ctx context.Context, c *model.Customer, p pattern, daemons []fleet.Policy, seed uint64, end time.Duration) {
