--- a/gauge/gauge.go
+++ b/gauge/gauge.go
@@ -65,7 +65,7 @@
 // Short and Long are the sizes of make test and make measure.
 var (
 	Short = Size{Runs: 100, Naive: 10, Quiet: 24 * time.Hour, Crowd: 5 * time.Minute, Limits: 20 * time.Second, Seeds: 2, Trouble: 5}
-	Long  = Size{Runs: 1000, Naive: 100, Quiet: 24 * time.Hour, Crowd: 10 * time.Minute, Fleet: true, Limits: 20 * time.Second, Seeds: 40, Trouble: 100}
+	Long  = Size{Runs: 1000, Naive: 50, Quiet: 24 * time.Hour, Crowd: 5 * time.Minute, Fleet: true, Limits: 20 * time.Second, Seeds: 40, Trouble: 50}
 )
 
 // Policies.
