--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,10 @@
 unit:
 	go test -race -count=1 ./...
 
+# Prints the figures of docs/measures.md; takes some minutes.
+measure:
+	go test -run '^TestMeasure$$' -count=1 -v ./gauge -long
+
 test: lint vet unit
 
 # Takes about five minutes; not part of test. See docs/CAPACITY.md.
