devcmd, bench: keep development commands apart and start no process

Change: commands for trials move to package devcmd; the measurement of one daemon is a test of package bench that make bench asks for. Conclusion: the program itself starts no process.

--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 bench: build
 	go test -run NONE -bench . -benchtime 1s ./queue ./pick ./wallet ./exch ./gate
-	bin/rhubarbdrift bench
+	go test -run '^TestBench$$' -count=1 -v ./bench -args -program $(CURDIR)/bin/rhubarbdrift
 
 demo: build
 	demo/run.sh
--- /dev/null
+++ b/bench/bench_test.go
@@ -0,0 +1,45 @@
+package bench
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"rhubarbdrift.example/model"
+)
+
+// The flags of make bench. Without -program nothing is measured, because
+// figures in real time depend on the machine.
+var (
+	program = flag.String("program", "", "path of the built program")
+	rate    = flag.Float64("rate", 0, "requests per second; 0: 300 and 3,000")
+	round   = flag.Duration("round", 5*time.Second, "length of a round")
+	rounds  = flag.Int("rounds", 4, "rounds through the daemon, and as many direct ones")
+	targets = flag.Int("targets", 4, "stand-in targets")
+	work    = flag.Duration("work", 0, "time that a target takes for a request")
+	profile = flag.String("profile", "", "file for a processor profile of one round; the daemon then runs in this process")
+)
+
+// TestBench measures what one daemon adds to a request. It starts the daemon
+// and the targets as processes, which the program itself never does.
+func TestBench(t *testing.T) {
+	if *program == "" {
+		return
+	}
+	p := Plan{Program: *program, Rates: []model.Rate{300, 3000}, Round: *round, Rounds: *rounds, Targets: *targets, Work: *work}
+	if *rate > 0 {
+		p.Rates = []model.Rate{model.Rate(*rate)}
+	}
+	if *profile != "" {
+		f, err := os.Create(*profile)
+		must.NoError(t, err)
+		defer func() { must.NoError(t, f.Close()) }()
+		p.Profile, p.Inside, p.Rounds, p.Rates = f, true, 1, p.Rates[:1]
+	}
+	report, err := Run(t.Context(), p)
+	must.NoError(t, err)
+	must.NoError(t, report.Table(os.Stdout))
+}
--- a/cmds/root.go
+++ b/cmds/root.go
@@ -22,6 +22,7 @@
 
 	"github.com/spf13/cobra"
 
+	"rhubarbdrift.example/devcmd"
 	"rhubarbdrift.example/fault"
 )
 
@@ -83,7 +84,7 @@
 		return fault.Wrap(usageKind, err, "wrong command line", "see the command's --help")
 	})
 	root.AddCommand(newDaemon(), newCheck(), newKey(), newVersion(),
-		newPlan(), newConfirm(), newShow(), newStatus(), newAudit(),
-		newPlatform(), newTarget(), newRelay(), newLoad(), newBench(), newSlopes())
+		newPlan(), newConfirm(), newShow(), newStatus(), newAudit())
+	root.AddCommand(devcmd.Commands()...)
 	return root
 }
--- a/cmds/target.go
+++ b/devcmd/target.go
@@ -1,4 +1,4 @@
-package cmds
+package devcmd
 
 import (
 	"time"
