gate: split refusals, request shape and the retry budget from the gate

Change: packages refuse, shape and retry; logs.Quiet. No behaviour changes. Conclusion: one job a package.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -12,7 +12,7 @@
 
 	"rhubarbdrift.example/config"
 	"rhubarbdrift.example/fault"
-	"rhubarbdrift.example/gate"
+	"rhubarbdrift.example/logs"
 	"rhubarbdrift.example/model"
 	"rhubarbdrift.example/plan"
 )
@@ -85,7 +85,7 @@
 		MaxRequestBodySize: maxBody,
 		ReadTimeout:        callTimeout,
 		CloseOnShutdown:    true,
-		Logger:             gate.Quiet{},
+		Logger:             logs.Quiet{},
 	}
 }
 
--- a/gate/bench_test.go
+++ b/gate/bench_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"testing"
 
+	"rhubarbdrift.example/refuse"
+
 	"github.com/valyala/fasthttp"
 
 	"rhubarbdrift.example/exch"
@@ -31,7 +33,7 @@
 	for b.Loop() {
 		ctx.Request.Header.SetHost("a")
 		ctx.Request.SetRequestURI("/weights/1")
-		ctx.Request.Header.Set(HeaderKey, testKey)
+		ctx.Request.Header.Set(refuse.HeaderKey, testKey)
 		r.gate.handle(&ctx)
 		if ctx.Response.StatusCode() != fasthttp.StatusOK {
 			b.Fatal(ctx.Response.String())
--- a/gate/call.go
+++ b/gate/call.go
@@ -8,6 +8,10 @@
 	"sync/atomic"
 	"time"
 
+	"rhubarbdrift.example/refuse"
+	"rhubarbdrift.example/retry"
+	"rhubarbdrift.example/shape"
+
 	"github.com/valyala/fasthttp"
 
 	"rhubarbdrift.example/conf"
@@ -40,8 +44,8 @@
 	tried    []model.TargetID // in places, as domains are
 	domains  []model.Domain
 	places   struct {
-		tried   [1 + maxRetries]model.TargetID
-		domains [1 + maxRetries]model.Domain
+		tried   [1 + retry.Max]model.TargetID
+		domains [1 + retry.Max]model.Domain
 	}
 	sent    bool         // a target may have run the request
 	release func()       // gives back the place in the pool
@@ -50,8 +54,8 @@
 }
 
 // serve answers the request or returns the refusal to send.
-func (c *call) serve() *Refusal {
-	steps := []func() *Refusal{c.shape, c.find, c.authenticate, c.admit, c.record}
+func (c *call) serve() *refuse.Refusal {
+	steps := []func() *refuse.Refusal{c.shape, c.find, c.authenticate, c.admit, c.record}
 	for _, step := range steps {
 		if r := step(); r != nil {
 			return c.giveUp(r)
@@ -61,41 +65,41 @@
 }
 
 // shape refuses malformed requests.
-func (c *call) shape() *Refusal {
-	if problem := badShape(&c.ctx.Request.Header); problem != "" {
-		return refusal(KindBad, NotRun, "the request is malformed: "+problem, "send one unambiguous HTTP/1.1 request")
+func (c *call) shape() *refuse.Refusal {
+	if problem := shape.Problem(&c.ctx.Request.Header); problem != "" {
+		return refuse.New(refuse.KindBad, refuse.NotRun, "the request is malformed: "+problem, "send one unambiguous HTTP/1.1 request")
 	}
 	return nil
 }
 
 // find looks up the route and its pool and computes the deadline.
-func (c *call) find() *Refusal {
+func (c *call) find() *refuse.Refusal {
 	c.snapshot = c.gate.parts.Snapshot()
 	if c.snapshot == nil {
-		return refusal(KindStale, NotRun, "this daemon has no configuration yet", "retry later").after(limitRetry)
+		return refuse.New(refuse.KindStale, refuse.NotRun, "this daemon has no configuration yet", "retry later").After(limitRetry)
 	}
 	host, _, _ := strings.Cut(strings.ToLower(string(c.ctx.Host())), ":")
 	route, ok := c.snapshot.Route(host, string(c.ctx.Path()))
 	if !ok {
-		return refusal(KindRoute, NotRun, "no route matches the host and path", "check the URL")
+		return refuse.New(refuse.KindRoute, refuse.NotRun, "no route matches the host and path", "check the URL")
 	}
 	c.route = route
 	c.pool, ok = c.snapshot.Pool(route.Pool)
 	if !ok {
-		return refusal(KindRoute, NotRun, "the route has no pool", "check the URL")
+		return refuse.New(refuse.KindRoute, refuse.NotRun, "the route has no pool", "check the URL")
 	}
 	if len(c.ctx.Request.Body()) > route.MaxBody() {
-		return refusal(KindLarge, NotRun, "the request body is above the route's limit", "send a smaller body")
+		return refuse.New(refuse.KindLarge, refuse.NotRun, "the request body is above the route's limit", "send a smaller body")
 	}
 	return c.setDeadline()
 }
 
-func (c *call) setDeadline() *Refusal {
+func (c *call) setDeadline() *refuse.Refusal {
 	limit := c.route.Timeout()
-	if value := c.ctx.Request.Header.Peek(HeaderDeadline); len(value) > 0 {
+	if value := c.ctx.Request.Header.Peek(refuse.HeaderDeadline); len(value) > 0 {
 		asked, err := strconv.ParseInt(string(value), 10, 64)
 		if err != nil || asked <= 0 {
-			return refusal(KindBad, NotRun, HeaderDeadline+" is not a positive number of milliseconds", "correct or remove the header")
+			return refuse.New(refuse.KindBad, refuse.NotRun, refuse.HeaderDeadline+" is not a positive number of milliseconds", "correct or remove the header")
 		}
 		limit = min(limit, model.Millis(asked))
 	}
@@ -104,12 +108,12 @@
 }
 
 // authenticate finds the customer of the key and removes the key.
-func (c *call) authenticate() *Refusal {
-	key := c.ctx.Request.Header.Peek(HeaderKey)
+func (c *call) authenticate() *refuse.Refusal {
+	key := c.ctx.Request.Header.Peek(refuse.HeaderKey)
 	if len(key) > 0 {
 		c.digest = model.DigestOf(key)
 	}
-	c.ctx.Request.Header.Del(HeaderKey)
+	c.ctx.Request.Header.Del(refuse.HeaderKey)
 	if c.route.Open {
 		return nil
 	}
@@ -118,14 +122,14 @@
 	}
 	customer, ok := c.holder(c.snapshot)
 	if !ok {
-		return refusal(KindKey, NotRun, "the route needs a valid key in "+HeaderKey, "ask an operator for a key")
+		return refuse.New(refuse.KindKey, refuse.NotRun, "the route needs a valid key in "+refuse.HeaderKey, "ask an operator for a key")
 	}
 	c.customer = customer
 	return nil
 }
 
-func stale() *Refusal {
-	return refusal(KindStale, NotRun, "this daemon may hold an old configuration", "retry, which may reach another daemon").after(limitRetry)
+func stale() *refuse.Refusal {
+	return refuse.New(refuse.KindStale, refuse.NotRun, "this daemon may hold an old configuration", "retry, which may reach another daemon").After(limitRetry)
 }
 
 // holder returns the customer that may use the route with the caller's key.
@@ -139,7 +143,7 @@
 
 // recheck consults the newest configuration again, since the request may have
 // waited: a key withdrawn in the meantime does not work any more.
-func (c *call) recheck() *Refusal {
+func (c *call) recheck() *refuse.Refusal {
 	if c.customer == nil {
 		return nil
 	}
@@ -148,7 +152,7 @@
 	}
 	now, ok := c.holder(c.gate.parts.Snapshot())
 	if !ok || now.ID != c.customer.ID {
-		return refusal(KindKey, NotRun, "the key was withdrawn", "ask an operator for a key")
+		return refuse.New(refuse.KindKey, refuse.NotRun, "the key was withdrawn", "ask an operator for a key")
 	}
 	if c.token.Valid() {
 		return nil
@@ -157,13 +161,13 @@
 		return r
 	}
 	if !c.token.Valid() {
-		return refusal(KindLimit, NotRun, "no token stayed valid until the request could be sent", "retry").after(limitRetry)
+		return refuse.New(refuse.KindLimit, refuse.NotRun, "no token stayed valid until the request could be sent", "retry").After(limitRetry)
 	}
 	return nil
 }
 
 // admit takes a token of the customer's rate and burst.
-func (c *call) admit() *Refusal {
+func (c *call) admit() *refuse.Refusal {
 	if c.customer == nil {
 		return nil
 	}
@@ -177,10 +181,10 @@
 	}
 	if fault.Is(err, fault.Limited) {
 		c.gate.usages.of(c.customer.ID).refused.Add(1)
-		return refusal(KindLimit, NotRun, "the customer is above its rate and burst", "slow down").after(waitOf(err))
+		return refuse.New(refuse.KindLimit, refuse.NotRun, "the customer is above its rate and burst", "slow down").After(waitOf(err))
 	}
 	c.gate.log.Debug().Err(err).Str("customer", string(c.customer.ID)).Msg("limit not checked")
-	return refusal(KindBusy, NotRun, "the customer's limit could not be checked", "retry").after(limitRetry)
+	return refuse.New(refuse.KindBusy, refuse.NotRun, "the customer's limit could not be checked", "retry").After(limitRetry)
 }
 
 // earliest returns the deadline, or the time after d if that comes first.
@@ -197,13 +201,13 @@
 }
 
 // record claims a request that may not be repeated before any byte is sent.
-func (c *call) record() *Refusal {
+func (c *call) record() *refuse.Refusal {
 	if c.repeatable() {
 		return nil
 	}
-	key := c.ctx.Request.Header.Peek(HeaderIdempotency)
+	key := c.ctx.Request.Header.Peek(refuse.HeaderIdempotency)
 	if len(key) == 0 {
-		return refusal(KindBad, NotRun, "the request may not be repeated and has no "+HeaderIdempotency,
+		return refuse.New(refuse.KindBad, refuse.NotRun, "the request may not be repeated and has no "+refuse.HeaderIdempotency,
 			"send an id that is the same when the request is sent again")
 	}
 	var id model.CustomerID
@@ -217,7 +221,7 @@
 		c.claim = claim
 		return nil
 	}
-	if fault.Is(err, fault.Kind(KindUnclaimed)) && c.route.Outage == model.OutageForward {
+	if fault.Is(err, fault.Kind(refuse.KindUnclaimed)) && c.route.Outage == model.OutageForward {
 		return nil
 	}
 	return claimRefusal(err)
@@ -233,11 +237,11 @@
 // giveUp returns the token and the claim of a request that was not run. If the
 // claim cannot be released, a repeat would be refused as open, so the refusal
 // does not say "not run".
-func (c *call) giveUp(r *Refusal) *Refusal {
+func (c *call) giveUp(r *refuse.Refusal) *refuse.Refusal {
 	if c.sent {
-		r.Run = Unknown
+		r.Run = refuse.Unknown
 	}
-	if r.Run != NotRun {
+	if r.Run != refuse.NotRun {
 		return r
 	}
 	if c.token != nil {
@@ -250,7 +254,7 @@
 	defer cancel()
 	if err := c.claim.Release(ctx); err != nil {
 		c.gate.log.Warn().Err(err).Str("route", string(c.route.ID)).Msg("claim of a request that was not run stays open")
-		return refusal(KindOpen, Unknown, r.Message+"; its claim could not be released", "ask an operator before sending it with a new "+HeaderIdempotency)
+		return refuse.New(refuse.KindOpen, refuse.Unknown, r.Message+"; its claim could not be released", "ask an operator before sending it with a new "+refuse.HeaderIdempotency)
 	}
 	return r
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -6,6 +6,10 @@
 	"sync/atomic"
 	"time"
 
+	"rhubarbdrift.example/logs"
+	"rhubarbdrift.example/refuse"
+	"rhubarbdrift.example/retry"
+
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 	"github.com/valyala/fasthttp"
@@ -28,7 +32,7 @@
 // Gate serves callers.
 type Gate struct {
 	parts    Parts
-	budget   *budget
+	budget   *retry.Budget
 	usages   usages
 	log      zerolog.Logger
 	counters counters
@@ -67,7 +71,7 @@
 func New(parts Parts, options ...Option) *Gate {
 	g := &Gate{
 		parts:    parts,
-		budget:   newBudget(),
+		budget:   retry.NewBudget(),
 		log:      zerolog.Nop(),
 		counters: newCounters(tally.NoopScope),
 	}
@@ -102,17 +106,10 @@
 		NoDefaultContentType:  true,
 		NoDefaultDate:         true,
 		CloseOnShutdown:       true,
-		Logger:                Quiet{},
+		Logger:                logs.Quiet{},
 	}
 }
 
-// Quiet discards the messages of a fasthttp server. They quote parts of
-// requests, which may contain keys.
-type Quiet struct{}
-
-// Printf does nothing.
-func (Quiet) Printf(string, ...any) {}
-
 // Drain makes all further answers close their connections, so that callers
 // connect to other daemons.
 func (g *Gate) Drain() { g.draining.Store(true) }
@@ -149,10 +146,10 @@
 
 func (g *Gate) end() { g.counters.running.Update(float64(g.running.Add(-1))) }
 
-func (g *Gate) refuse(ctx *fasthttp.RequestCtx, r *Refusal) {
-	r.write(&ctx.Response)
+func (g *Gate) refuse(ctx *fasthttp.RequestCtx, r *refuse.Refusal) {
+	r.Write(&ctx.Response)
 	g.counters.scope.Tagged(map[string]string{"kind": string(r.Kind), "run": string(r.Run)}).Counter("refused").Inc(1)
-	if r.Kind == KindBad || r.Kind == KindLarge {
+	if r.Kind == refuse.KindBad || r.Kind == refuse.KindLarge {
 		// What follows on the connection cannot be trusted to be a request.
 		ctx.SetConnectionClose()
 	}
@@ -160,14 +157,14 @@
 
 // malformed answers requests that the server's parser refuses.
 func (g *Gate) malformed(ctx *fasthttp.RequestCtx, err error) {
-	r := refusal(KindBad, NotRun, "the request is malformed", "send a valid HTTP/1.1 request")
+	r := refuse.New(refuse.KindBad, refuse.NotRun, "the request is malformed", "send a valid HTTP/1.1 request")
 	var small *fasthttp.ErrSmallBuffer
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		r = refusal(KindLarge, NotRun, "the request body is too large", "send a smaller body")
+		r = refuse.New(refuse.KindLarge, refuse.NotRun, "the request body is too large", "send a smaller body")
 	case errors.As(err, &small):
-		r = refusal(KindLarge, NotRun, "the request headers are too large", "send smaller headers")
-		r.status = fasthttp.StatusRequestHeaderFieldsTooLarge
+		r = refuse.New(refuse.KindLarge, refuse.NotRun, "the request headers are too large", "send smaller headers")
+		r.Status = fasthttp.StatusRequestHeaderFieldsTooLarge
 	}
 	g.refuse(ctx, r)
 }
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -14,6 +14,8 @@
 	"testing"
 	"time"
 
+	"rhubarbdrift.example/refuse"
+
 	"github.com/shoenig/test/must"
 	"github.com/valyala/fasthttp"
 
@@ -51,7 +53,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.broken {
-		return nil, fault.New(fault.Kind(KindUnclaimed), "gone", "wait")
+		return nil, fault.New(fault.Kind(refuse.KindUnclaimed), "gone", "wait")
 	}
 	if state := f.states[key]; state != "" {
 		return nil, fault.New(fault.Kind(state), state, "none")
@@ -250,7 +252,7 @@
 	r.enter = func() { r.install(t, 2, "127.0.0.1:1", nil) }
 	resp, _ := r.send(t, request("GET", "/weights", ""))
 	must.EqOp(t, 401, resp.StatusCode())
-	must.EqOp(t, "not-run", string(resp.Header.Peek(HeaderRun)))
+	must.EqOp(t, "not-run", string(resp.Header.Peek(refuse.HeaderRun)))
 	must.SliceEmpty(t, r.received())
 }
 
@@ -260,7 +262,7 @@
 	r.fresh.Store(false)
 	resp, _ := r.send(t, request("GET", "/weights", ""))
 	must.EqOp(t, 503, resp.StatusCode())
-	must.EqOp(t, "stale", string(resp.Header.Peek(HeaderKind)))
+	must.EqOp(t, "stale", string(resp.Header.Peek(refuse.HeaderKind)))
 	must.SliceEmpty(t, r.received())
 }
 
@@ -274,18 +276,18 @@
 	})
 	pay := request("POST", "/payouts", "Idempotency-Key: p1\r\nContent-Length: 0\r\n")
 	resp, _ := r.send(t, pay)
-	must.EqOp(t, "unknown", string(resp.Header.Peek(HeaderRun)))
+	must.EqOp(t, "unknown", string(resp.Header.Peek(refuse.HeaderRun)))
 	must.SliceLen(t, 1, r.received())
 	resp, _ = r.send(t, pay)
 	must.EqOp(t, 409, resp.StatusCode())
-	must.EqOp(t, "open", string(resp.Header.Peek(HeaderKind)))
+	must.EqOp(t, "open", string(resp.Header.Peek(refuse.HeaderKind)))
 	must.SliceLen(t, 1, r.received())
 	resp, _ = r.send(t, request("POST", "/payouts", "Content-Length: 0\r\n"))
 	must.EqOp(t, 400, resp.StatusCode(), must.Sprint("no idempotency key"))
 	r.claims.setBroken()
 	resp, _ = r.send(t, request("POST", "/payouts", "Idempotency-Key: p2\r\nContent-Length: 0\r\n"))
-	must.EqOp(t, "unclaimed", string(resp.Header.Peek(HeaderKind)))
-	must.EqOp(t, "not-run", string(resp.Header.Peek(HeaderRun)))
+	must.EqOp(t, "unclaimed", string(resp.Header.Peek(refuse.HeaderKind)))
+	must.EqOp(t, "not-run", string(resp.Header.Peek(refuse.HeaderRun)))
 	must.SliceLen(t, 1, r.received())
 }
 
@@ -297,8 +299,8 @@
 		ctx.Response.Header.Set(exch.HeaderShed, "1")
 	})
 	resp, _ := r.send(t, request("POST", "/payouts", "Idempotency-Key: p1\r\nContent-Length: 0\r\n"))
-	must.EqOp(t, "busy", string(resp.Header.Peek(HeaderKind)))
-	must.EqOp(t, "not-run", string(resp.Header.Peek(HeaderRun)))
+	must.EqOp(t, "busy", string(resp.Header.Peek(refuse.HeaderKind)))
+	must.EqOp(t, "not-run", string(resp.Header.Peek(refuse.HeaderRun)))
 	must.EqOp(t, "", r.claims.state("p1"))
 }
 
--- a/gate/run.go
+++ b/gate/run.go
@@ -6,6 +6,10 @@
 	"sync/atomic"
 	"time"
 
+	"rhubarbdrift.example/refuse"
+	"rhubarbdrift.example/retry"
+	"rhubarbdrift.example/shape"
+
 	"github.com/valyala/fasthttp"
 
 	"rhubarbdrift.example/exch"
@@ -21,8 +25,8 @@
 
 // run sends the request to targets until one answers or the refusal is final.
 // The place in the pool is given back before claims are written.
-func (c *call) run() *Refusal {
-	c.gate.budget.request(c.pool.ID)
+func (c *call) run() *refuse.Refusal {
+	c.gate.budget.Request(c.pool.ID)
 	hold, r := c.acquire()
 	if r != nil {
 		return c.giveUp(r)
@@ -39,7 +43,7 @@
 
 // attempt sends the request to the target of the hold and, while that makes
 // sense, to others. The last outcome is final.
-func (c *call) attempt(hold *pick.Hold) (exch.Outcome, *Refusal) {
+func (c *call) attempt(hold *pick.Hold) (exch.Outcome, *refuse.Refusal) {
 	for n := 0; ; n++ {
 		if r := c.recheck(); r != nil {
 			hold.Done(pick.Slow) // frees the slot without raising the target's limit
@@ -66,7 +70,7 @@
 
 // acquire waits for the pool's queue and a target with a free slot. The place
 // in the pool that the queue gives is kept for all attempts.
-func (c *call) acquire() (*pick.Hold, *Refusal) {
+func (c *call) acquire() (*pick.Hold, *refuse.Refusal) {
 	wait := &limit{at: c.deadline}
 	defer wait.end()
 	release, err := c.gate.parts.Queues.Enter(wait, c.pool.ID, c.customer, c.deadline)
@@ -150,12 +154,12 @@
 // prepare copies the request without what is not meant for the target.
 func (c *call) prepare(req *fasthttp.Request) {
 	c.ctx.Request.CopyTo(req)
-	removeHop(&req.Header)
-	req.Header.Del(HeaderKey)
+	shape.RemoveHop(&req.Header)
+	req.Header.Del(refuse.HeaderKey)
 	// A caller must not be able to speak for another customer.
-	req.Header.Del(HeaderCustomer)
+	req.Header.Del(refuse.HeaderCustomer)
 	if c.customer != nil {
-		req.Header.Set(HeaderCustomer, string(c.customer.ID))
+		req.Header.Set(refuse.HeaderCustomer, string(c.customer.ID))
 	}
 	req.Header.Add("X-Forwarded-For", c.ctx.RemoteIP().String())
 }
@@ -185,7 +189,7 @@
 
 // again reports whether the request is sent to another target.
 func (c *call) again(out *exch.Outcome, attempt int) bool {
-	if attempt >= maxRetries || !time.Now().Before(c.deadline) {
+	if attempt >= retry.Max || !time.Now().Before(c.deadline) {
 		return false
 	}
 	if !out.NotRun() && !c.repeatable() {
@@ -194,7 +198,7 @@
 	if out.Class == exch.Whole && out.Status < fasthttp.StatusInternalServerError {
 		return false
 	}
-	if !c.gate.budget.retry(c.pool.ID) {
+	if !c.gate.budget.Retry(c.pool.ID) {
 		return false
 	}
 	c.gate.counters.retries.Inc(1)
@@ -202,21 +206,21 @@
 }
 
 // finish gives the caller the target's answer or a refusal.
-func (c *call) finish(out *exch.Outcome) *Refusal {
+func (c *call) finish(out *exch.Outcome) *refuse.Refusal {
 	switch out.Class {
 	case exch.Whole:
 		c.answered(out.Status)
 		return nil
 	case exch.Shed:
-		return c.giveUp(refusal(KindBusy, NotRun, "the targets shed load", "retry later").after(limitRetry))
+		return c.giveUp(refuse.New(refuse.KindBusy, refuse.NotRun, "the targets shed load", "retry later").After(limitRetry))
 	case exch.NotRun:
-		return c.giveUp(refusal(KindTarget, NotRun, "no target could be reached", "retry later").after(limitRetry))
+		return c.giveUp(refuse.New(refuse.KindTarget, refuse.NotRun, "no target could be reached", "retry later").After(limitRetry))
 	case exch.Silent:
 		c.abandon()
-		return refusal(KindLate, Unknown, "the target did not answer in time", c.unknownRemedy())
+		return refuse.New(refuse.KindLate, refuse.Unknown, "the target did not answer in time", c.unknownRemedy())
 	default:
 		c.abandon()
-		return refusal(KindTarget, Unknown, "the target's answer was lost", c.unknownRemedy())
+		return refuse.New(refuse.KindTarget, refuse.Unknown, "the target's answer was lost", c.unknownRemedy())
 	}
 }
 
@@ -236,14 +240,14 @@
 	if c.repeatable() {
 		return "retry"
 	}
-	return "send it again with the same " + HeaderIdempotency + ", or ask the target's owner whether it was run"
+	return "send it again with the same " + refuse.HeaderIdempotency + ", or ask the target's owner whether it was run"
 }
 
 // answered passes the target's answer on. Its body may still be streaming.
 func (c *call) answered(status int) {
 	c.gate.counters.whole.Inc(1)
 	h := &c.ctx.Response.Header
-	removeHop(h)
+	shape.RemoveHop(h)
 	h.Del(exch.HeaderDrain)
 	h.Del(exch.HeaderShed)
 	if c.claim == nil {
@@ -257,11 +261,11 @@
 }
 
 // capacityRefusal says why no target was found. The request was not run.
-func capacityRefusal(err error) *Refusal {
+func capacityRefusal(err error) *refuse.Refusal {
 	if fault.Is(err, fault.Late) || errors.Is(err, context.DeadlineExceeded) {
-		return refusal(KindLate, NotRun, "the deadline passed before a target was free", "retry later or allow more time").after(limitRetry)
+		return refuse.New(refuse.KindLate, refuse.NotRun, "the deadline passed before a target was free", "retry later or allow more time").After(limitRetry)
 	}
-	return refusal(KindBusy, NotRun, "no target has free capacity", "retry later").after(limitRetry)
+	return refuse.New(refuse.KindBusy, refuse.NotRun, "no target has free capacity", "retry later").After(limitRetry)
 }
 
 // waitOf returns the Retry-After of a refusal by the limiter.
@@ -273,15 +277,15 @@
 }
 
 // claimRefusal says why the claim of a request could not be taken.
-func claimRefusal(err error) *Refusal {
+func claimRefusal(err error) *refuse.Refusal {
 	switch fault.KindOf(err) {
-	case fault.Kind(KindOpen):
-		return refusal(KindOpen, Unknown, "the same request is running, or its outcome is unknown", "wait for the first answer, or ask the target's owner whether it was run")
-	case fault.Kind(KindDone):
-		return refusal(KindDone, Unknown, "the same request was run before: "+err.Error(), "do not send it again")
-	case fault.Kind(KindMismatch):
-		return refusal(KindMismatch, NotRun, "another request used the same "+HeaderIdempotency, "use a new id for each request")
+	case fault.Kind(refuse.KindOpen):
+		return refuse.New(refuse.KindOpen, refuse.Unknown, "the same request is running, or its outcome is unknown", "wait for the first answer, or ask the target's owner whether it was run")
+	case fault.Kind(refuse.KindDone):
+		return refuse.New(refuse.KindDone, refuse.Unknown, "the same request was run before: "+err.Error(), "do not send it again")
+	case fault.Kind(refuse.KindMismatch):
+		return refuse.New(refuse.KindMismatch, refuse.NotRun, "another request used the same "+refuse.HeaderIdempotency, "use a new id for each request")
 	default:
-		return refusal(KindUnclaimed, NotRun, "the request could not be recorded, so it was not sent", "retry later").after(limitRetry)
+		return refuse.New(refuse.KindUnclaimed, refuse.NotRun, "the request could not be recorded, so it was not sent", "retry later").After(limitRetry)
 	}
 }
--- a/gate/refuse.go
+++ b/refuse/refuse.go
@@ -1,4 +1,12 @@
-package gate
+// Package refuse writes the answers that a daemon gives itself: JSON with the
+// kind of the refusal, whether the request was run, a message and the remedy,
+// and the same kind and run as headers.
+//
+// # Usage
+//
+//	r := refuse.New(refuse.KindBusy, refuse.NotRun, "no capacity", "retry later").After(time.Second)
+//	r.Write(&ctx.Response)
+package refuse
 
 import (
 	"encoding/json"
@@ -60,7 +68,7 @@
 	Message string `json:"message"`
 	Remedy  string `json:"remedy"`
 
-	status int
+	Status int           `json:"-"`
 	retry  time.Duration // 0: no Retry-After
 }
 
@@ -80,20 +88,21 @@
 	KindTarget:    fasthttp.StatusBadGateway,
 }
 
-func refusal(kind Kind, run Run, message, remedy string) *Refusal {
-	return &Refusal{Kind: kind, Run: run, Message: message, Remedy: remedy, status: statusOf[kind]}
+// New returns a refusal with the status of its kind.
+func New(kind Kind, run Run, message, remedy string) *Refusal {
+	return &Refusal{Kind: kind, Run: run, Message: message, Remedy: remedy, Status: statusOf[kind]}
 }
 
-// after sets the time after which a new attempt makes sense.
-func (r *Refusal) after(d time.Duration) *Refusal {
+// After sets the time after which a new attempt makes sense.
+func (r *Refusal) After(d time.Duration) *Refusal {
 	r.retry = d
 	return r
 }
 
-// write replaces the answer with the refusal.
-func (r *Refusal) write(resp *fasthttp.Response) {
+// Write replaces the answer with the refusal.
+func (r *Refusal) Write(resp *fasthttp.Response) {
 	resp.Reset()
-	resp.SetStatusCode(r.status)
+	resp.SetStatusCode(r.Status)
 	resp.Header.SetContentType("application/json")
 	resp.Header.Set(HeaderKind, string(r.Kind))
 	resp.Header.Set(HeaderRun, string(r.Run))
--- a/gate/shape.go
+++ b/shape/shape.go
@@ -1,4 +1,13 @@
-package gate
+// Package shape checks the form of a caller's request before anything else is
+// done with it, and removes headers that are meant for one connection only.
+//
+// # Usage
+//
+//	if problem := shape.Problem(&ctx.Request.Header); problem != "" {
+//		return bad(problem)
+//	}
+//	shape.RemoveHop(&req.Header)
+package shape
 
 import (
 	"bytes"
@@ -20,10 +29,10 @@
 	folded    bool // a header line that continues the one before it
 }
 
-// badShape returns why a request is refused before anything else is done with
+// Problem returns why a request is refused before anything else is done with
 // it, or "". Requests whose end two parsers may see at different places are
 // refused, since the rest could be taken for another caller's request.
-func badShape(h *fasthttp.RequestHeader) string {
+func Problem(h *fasthttp.RequestHeader) string {
 	f := scan(h.RawHeaders())
 	switch {
 	case f.folded:
@@ -78,14 +87,14 @@
 	"Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
-// headerSet is the part of fasthttp's request and response headers that is needed here.
-type headerSet interface {
+// Headers is the part of fasthttp's request and response headers that is needed here.
+type Headers interface {
 	Peek(key string) []byte
 	Del(key string)
 }
 
-// removeHop deletes the hop-by-hop headers and those that Connection names.
-func removeHop(h headerSet) {
+// RemoveHop deletes the hop-by-hop headers and those that Connection names.
+func RemoveHop(h Headers) {
 	var named [][]byte
 	if value := h.Peek("Connection"); len(value) > 0 {
 		named = bytes.Split(bytes.Clone(value), []byte(","))
