--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,9 @@
 measure:
 	go test -run '^TestMeasure$$' -count=1 -v ./gauge -long
 
+# Known failures are printed, so that a passing run does not hide them.
 test: lint vet unit
+	@cat KNOWN-RED.txt
 
 # Takes about five minutes; not part of test. See docs/CAPACITY.md.
 slopes: build
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -4,11 +4,14 @@
 	"sync/atomic"
 
 	"rhubarbdrift.example/admin"
+	"rhubarbdrift.example/admit"
 	"rhubarbdrift.example/conf"
+	"rhubarbdrift.example/eject"
 	"rhubarbdrift.example/exch"
 	"rhubarbdrift.example/gate"
 	"rhubarbdrift.example/kern"
 	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/peers"
 	"rhubarbdrift.example/pick"
 	"rhubarbdrift.example/plan"
 	"rhubarbdrift.example/queue"
@@ -43,11 +46,11 @@
 type state struct {
 	store     store.Store
 	holder    *conf.Holder
-	directory *directory
+	directory *peers.Directory
 	peers     *wire.Pool
 	counters  *wire.Counters
-	cell      *cellView
-	evidence  *evidence
+	cell      *peers.Cell
+	evidence  *eject.Evidence
 	stopping  atomic.Bool
 }
 
@@ -82,7 +85,7 @@
 		return err
 	}
 	d.state.store = client
-	d.state.directory = newDirectory(client, d.log)
+	d.state.directory = peers.NewDirectory(client, d.log)
 	return kern.Provide(d.kernel, nameHosts, d.state.directory)
 }
 
@@ -118,7 +121,7 @@
 		}
 	}
 	d.state.holder.Subscribe(func(*conf.Snapshot) { update() })
-	d.state.directory.changed = update
+	d.state.directory.OnChange(update)
 	return kern.Provide(d.kernel, namePicker, p)
 }
 
@@ -146,7 +149,7 @@
 	if err != nil {
 		return err
 	}
-	limits, err := kern.Find[*limits](d.kernel, nameLimits)
+	limits, err := kern.Find[*admit.Limits](d.kernel, nameLimits)
 	if err != nil {
 		return err
 	}
@@ -166,7 +169,7 @@
 		Queues:   queues,
 		Picker:   picker,
 		Exchange: exchange,
-		Observe:  d.state.evidence.observe,
+		Observe:  d.state.evidence.Observe,
 	}, gate.WithLog(d.log), gate.WithMeter(d.meter.Scope()), gate.WithConnections(d.settings.Connections))
 	if err := kern.Provide(d.kernel, nameGate, g); err != nil {
 		return err
--- a/daemon/cell.go
+++ b/daemon/cell.go
@@ -10,7 +10,7 @@
 	"rhubarbdrift.example/feed"
 	"rhubarbdrift.example/kern"
 	"rhubarbdrift.example/lease"
-	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/peers"
 	"rhubarbdrift.example/roster"
 	"rhubarbdrift.example/store"
 	"rhubarbdrift.example/wire"
@@ -19,49 +19,6 @@
 // releaseTimeout bounds the release of the leases, which lapse otherwise.
 const releaseTimeout = 5 * time.Second
 
-// cellView gives other services what they need to know of the cell.
-type cellView struct {
-	member    *cell.Member
-	service   *roster.Service
-	directory *directory
-}
-
-// Address returns the peer address of a member.
-func (v *cellView) Address(id model.HostID) (string, bool) {
-	r := v.member.Held()
-	for _, h := range r.Hosts {
-		if h.ID == id {
-			return h.Address, true
-		}
-	}
-	return "", false
-}
-
-// Live returns the live members of the cell, this one included, without those
-// that are leaving.
-func (v *cellView) Live() []model.HostID {
-	list := []model.HostID{v.member.Self().ID}
-	for _, p := range v.member.Peers() {
-		if p.Live && !v.directory.Leaving(p.ID) {
-			list = append(list, p.ID)
-		}
-	}
-	return list
-}
-
-// Roster returns the roster for the votes on leases.
-func (v *cellView) Roster() (uint64, []model.HostID) { return v.service.Roster() }
-
-// CutOff returns how many of the members have no contact to the platform.
-func (v *cellView) CutOff(ctx context.Context, members []model.HostID) int {
-	return v.service.Contact(ctx, members)
-}
-
-// Endorse returns how many of the members agree to a takeover.
-func (v *cellView) Endorse(ctx context.Context, members []model.HostID, shard model.Shard) int {
-	return v.service.Endorse(ctx, members, shard)
-}
-
 func (d *Daemon) buildCell() error {
 	platform, err := kern.Find[store.Store](d.kernel, nameStore)
 	if err != nil {
@@ -79,8 +36,8 @@
 	service := roster.NewService(m, platform, link, roster.WithSeeds(s.Peers),
 		roster.WithReader(f.Read), roster.WithLogger(d.log))
 	roster.Register(server, service)
-	d.state.cell = &cellView{member: m, service: service, directory: d.state.directory}
-	wire.Handle(server, methodState, d.state.cell.state)
+	d.state.cell = peers.NewCell(m, service, d.state.directory)
+	wire.Handle(server, methodState, d.cellState)
 	if err := kern.Provide(d.kernel, nameFeed, f); err != nil {
 		return err
 	}
--- a/daemon/fleet.go
+++ b/daemon/fleet.go
@@ -30,10 +30,10 @@
 	Live     int                 `cbor:"3,keyasint"`
 }
 
-// state answers another daemon's question for the state of this cell.
-func (v *cellView) state(context.Context, *roster.Nothing) (*cellState, error) {
-	s := v.member.Status()
-	return &cellState{Version: s.Version, Accepted: s.Accepted, Live: len(v.Live())}, nil
+// cellState answers another daemon's question for the state of this cell.
+func (d *Daemon) cellState(context.Context, *roster.Nothing) (*cellState, error) {
+	s := d.state.cell.Member().Status()
+	return &cellState{Version: s.Version, Accepted: s.Accepted, Live: len(d.state.cell.Live())}, nil
 }
 
 // cells asks a member of each cell which configuration is in force there. A
@@ -43,7 +43,7 @@
 	rosters, err := roster.Load(ctx, d.state.store)
 	if err != nil {
 		d.log.Warn().Err(err).Msg("cells not read; the status shows this daemon's cell only")
-		rosters = map[model.CellName]cell.Roster{d.settings.Cell: d.state.cell.member.Held()}
+		rosters = map[model.CellName]cell.Roster{d.settings.Cell: d.state.cell.Member().Held()}
 	}
 	list := make([]admin.CellStatus, 0, len(rosters))
 	for name, r := range rosters {
@@ -75,7 +75,7 @@
 
 func (d *Daemon) askState(ctx context.Context, h cell.Host) (*cellState, error) {
 	if h.ID == d.settings.Host {
-		return d.state.cell.state(ctx, nil)
+		return d.cellState(ctx, nil)
 	}
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
--- a/daemon/gauge.go
+++ b/daemon/gauge.go
@@ -42,7 +42,7 @@
 	g.scope.Gauge("shards").Update(float64(len(g.leases.Held())))
 	if s := g.daemon.snapshot(); s != nil {
 		g.scope.Gauge("version").Update(float64(s.Version()))
-		g.scope.Gauge("accepted").Update(flag(g.daemon.state.cell.member.Accepted(s.Version())))
+		g.scope.Gauge("accepted").Update(flag(g.daemon.state.cell.Member().Accepted(s.Version())))
 	}
 }
 
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -14,7 +14,7 @@
 )
 
 // fresh reports whether keyed routes may be served.
-func (d *Daemon) fresh() bool { return d.snapshot() != nil && d.state.cell.member.Fresh() }
+func (d *Daemon) fresh() bool { return d.snapshot() != nil && d.state.cell.Member().Fresh() }
 
 // Ready reports whether the balancer should send callers to this daemon.
 func (d *Daemon) Ready() bool { return d.fresh() && !d.state.stopping.Load() }
@@ -33,7 +33,7 @@
 	s.Cells, s.Platform = d.cells(ctx)
 	if c := d.snapshot(); c != nil {
 		s.Version = c.Version()
-		s.Accepted = d.state.cell.member.Accepted(c.Version())
+		s.Accepted = d.state.cell.Member().Accepted(c.Version())
 	}
 	if k, err := kern.Find[*lease.Keeper](d.kernel, nameLease); err == nil {
 		s.Shards = k.Held()
@@ -46,7 +46,7 @@
 
 func (d *Daemon) daemons() []admin.DaemonStatus {
 	var list []admin.DaemonStatus
-	for _, p := range d.state.cell.member.Peers() {
+	for _, p := range d.state.cell.Member().Peers() {
 		list = append(list, admin.DaemonStatus{
 			Host: p.ID, Version: p.Version, Live: p.Live,
 			Seen: model.Millis(time.Since(p.Heard).Milliseconds()),
@@ -71,7 +71,7 @@
 
 func (d *Daemon) target(pool model.PoolID, t pick.Status) admin.TargetStatus {
 	status := admin.TargetStatus{Pool: pool, Target: t.Target, Running: t.Flight, Verdict: verdictOf(t)}
-	v, ok := d.state.evidence.verdict(pool, t.Target)
+	v, ok := d.state.evidence.Verdict(pool, t.Target)
 	if !ok {
 		return status
 	}
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -118,7 +118,7 @@
 
 echo "== load of three customers through three daemons; one at several times its rate"
 cat >"$work/load.json" <<JSON
-{"entries": ["127.0.0.1:18080", "127.0.0.1:18280", "127.0.0.1:18380"], "time": 8000,
+{"entries": ["127.0.0.1:18080", "127.0.0.1:18280", "127.0.0.1:18380"], "time": 12000,
  "customers": [
   {"id": "depots", "key": "$depots", "rate": 100, "path": "/weights", "size": 2000},
   {"id": "bakers", "key": "$bakers", "rate": 50, "path": "/certificates", "size": 50000},
@@ -133,7 +133,7 @@
 "$program" load --plan "$work/load.json" >"$work/table.out" &
 table=$!
 ejected() { "$program" status --admin "$1" >"$work/status.out" && grep -qE "^ledger-1 .*(slow|failing) answers" "$work/status.out"; }
-if await 8 ejected 127.0.0.1:18082; then seen "the slow target ledger-1 is ejected although its health endpoint says good"; else missed "ejection of ledger-1"; fi
+if await 12 ejected 127.0.0.1:18082; then seen "the slow target ledger-1 is ejected although its health endpoint says good"; else missed "ejection of ledger-1"; fi
 if wait "$table"; then seen "every whole answer was the caller's own"; else missed "own answers"; fi
 curl -s -o /dev/null -X PUT -d '{}' http://127.0.0.1:19101/control
 cat "$work/table.out"
@@ -142,7 +142,7 @@
 column() { awk -v c="$1" -v n="$2" 'NR == 1 { for (i = 1; i <= NF; i++) at[$i] = i } $1 == c { print $at[n] }' "$work/table.out"; }
 served=$(($(column depots whole) + $(column bakers whole) + $(column kiosks whole)))
 if [ "$served" -ge 1000 ]; then seen "$served requests served through three daemons"; else missed "1000 requests served: $served"; fi
-if [ "$(column kiosks whole)" -le $((20 * 8 + 10)) ]; then seen "kiosks, at five times its rate, got no more than its rate and burst: $(column kiosks whole)"; else missed "the limit of kiosks"; fi
+if [ "$(column kiosks whole)" -le $((20 * 12 + 10)) ]; then seen "kiosks, at five times its rate, got no more than its rate and burst: $(column kiosks whole)"; else missed "the limit of kiosks"; fi
 if [ "$(column bakers refused)" = 0 ]; then seen "bakers, within its rate, was never refused"; else missed "bakers was refused $(column bakers refused) times"; fi
 
 echo "== a payout, sent twice with the same idempotency key through two daemons"
--- a/daemon/probe.go
+++ b/eject/probe.go
@@ -1,4 +1,4 @@
-package daemon
+package eject
 
 import (
 	"context"
@@ -14,15 +14,20 @@
 // probeTimeout bounds one health probe, which takes about 25 ms.
 const probeTimeout = time.Second
 
-// probes asks the health endpoints of ejected targets of the pools judged here.
-type probes struct {
-	evidence *evidence
+// Probes asks the health endpoints of ejected targets of the pools judged here.
+type Probes struct {
+	evidence *Evidence
 	exchange *exch.Client
 	pool     func(model.PoolID) (*model.Pool, bool)
 }
 
+// NewProbes returns probes for the pools that the function finds.
+func NewProbes(e *Evidence, x *exch.Client, pool func(model.PoolID) (*model.Pool, bool)) *Probes {
+	return &Probes{evidence: e, exchange: x, pool: pool}
+}
+
 // Run probes until ctx ends.
-func (p *probes) Run(ctx context.Context) error {
+func (p *Probes) Run(ctx context.Context) error {
 	t := time.NewTicker(reportInterval)
 	defer t.Stop()
 	for {
@@ -35,7 +40,7 @@
 	}
 }
 
-func (p *probes) round(ctx context.Context) {
+func (p *Probes) round(ctx context.Context) {
 	var g errgroup.Group
 	for _, id := range p.evidence.active() {
 		pool, ok := p.pool(id)
@@ -44,7 +49,7 @@
 		}
 		for i := range pool.Targets {
 			t := &pool.Targets[i]
-			if v, bad := p.evidence.verdict(id, t.ID); !bad || v.Finding == model.FindSuspect {
+			if v, bad := p.evidence.Verdict(id, t.ID); !bad || v.Finding == model.FindSuspect {
 				continue
 			}
 			g.Go(func() error {
@@ -57,7 +62,7 @@
 }
 
 // healthy reports whether the target's health endpoint says that it is healthy.
-func (p *probes) healthy(ctx context.Context, t *model.Target, path string) bool {
+func (p *Probes) healthy(ctx context.Context, t *model.Target, path string) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
--- a/daemon/direct.go
+++ b/peers/direct.go
@@ -1,4 +1,17 @@
-package daemon
+// Package peers is a daemon's view of the other daemons of its fleet: the
+// directory of all hosts, from the platform's lagging list, and the members of
+// its own cell, from their heartbeats.
+//
+// # Usage
+//
+//	directory := peers.NewDirectory(platform, log)
+//	go directory.Run(ctx)
+//	cell := peers.NewCell(member, service, directory)
+//	for _, id := range cell.Live() {
+//		address, ok := cell.Address(id)
+//		...
+//	}
+package peers
 
 import (
 	"context"
@@ -23,9 +36,9 @@
 	hostsRetry = time.Second
 )
 
-// directory knows the regions and addresses of the fleet's daemons from the
+// Directory knows the regions and addresses of the fleet's daemons from the
 // platform's lagging host list. It keeps the last list during an outage.
-type directory struct {
+type Directory struct {
 	store   store.Store
 	log     zerolog.Logger
 	changed func() // called after each reading that changed the list
@@ -35,12 +48,17 @@
 	regions map[model.Region][]model.HostID
 }
 
-func newDirectory(s store.Store, log zerolog.Logger) *directory {
-	return &directory{store: s, log: log}
+// NewDirectory returns an empty directory.
+func NewDirectory(s store.Store, log zerolog.Logger) *Directory {
+	return &Directory{store: s, log: log}
 }
 
+// OnChange sets the function that is called after each reading that changed the
+// list. It must be set before Run.
+func (d *Directory) OnChange(call func()) { d.changed = call }
+
 // Run reads the host list until ctx ends.
-func (d *directory) Run(ctx context.Context) error {
+func (d *Directory) Run(ctx context.Context) error {
 	for {
 		pause := hostsInterval
 		if err := d.read(ctx); err != nil {
@@ -57,7 +75,7 @@
 	}
 }
 
-func (d *directory) read(ctx context.Context) error {
+func (d *Directory) read(ctx context.Context) error {
 	list, err := d.store.Hosts(ctx)
 	if err != nil {
 		return err
@@ -81,7 +99,7 @@
 }
 
 // Hosts returns the last list in the order of the ids.
-func (d *directory) Hosts() []store.Host {
+func (d *Directory) Hosts() []store.Host {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	list := slices.Collect(maps.Values(d.hosts))
@@ -90,7 +108,7 @@
 }
 
 // Address returns the peer address of a host.
-func (d *directory) Address(id model.HostID) (string, bool) {
+func (d *Directory) Address(id model.HostID) (string, bool) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	h, ok := d.hosts[id]
@@ -98,14 +116,14 @@
 }
 
 // Leaving reports whether the host list shows the host as leaving.
-func (d *directory) Leaving(id model.HostID) bool {
+func (d *Directory) Leaving(id model.HostID) bool {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	return d.hosts[id].Leaving
 }
 
 // Best returns the host of the region with the lowest rank for the item.
-func (d *directory) Best(r model.Region, item string) (model.HostID, bool) {
+func (d *Directory) Best(r model.Region, item string) (model.HostID, bool) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	var best model.HostID
