lazy, serve, eject, claim: smaller packages, fewer verdict messages, a fleet-wide claim budget

Package exch refused requests above 16 connections that the picker allowed. Change: packages lazy and serve; an unchanged verdict set is sent every 3 s (sets expire after 10 s); the claim budget follows the host list; up to 256 connections to one target, since requests in flight are limited by pick. Measured: tests of claim, gate and the scenarios pass; the saving in messages is computed, not measured.

--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -401,3 +401,14 @@
 		}
 	})
 }
+
+// TestSetDaemons guards against a fleet that grows and writes more claims than
+// its budget.
+func TestSetDaemons(t *testing.T) {
+	k := New(store.NewMem(), WithBudget(100), WithDaemons(10))
+	must.EqOp(t, 10, k.limiter.Limit())
+	k.SetDaemons(50)
+	must.EqOp(t, 2, k.limiter.Limit())
+	k.SetDaemons(0)
+	must.EqOp(t, 100, k.limiter.Limit())
+}
--- a/claim/keeper.go
+++ b/claim/keeper.go
@@ -72,11 +72,31 @@
 	for _, f := range options {
 		f(k)
 	}
-	own := k.budget / float64(k.daemons)
-	k.limiter = rate.NewLimiter(rate.Limit(own), max(leastBurst, int(own)))
+	own, burst := k.own()
+	k.limiter = rate.NewLimiter(own, burst)
 	return k
 }
 
+// own returns this daemon's part of the fleet's write budget.
+func (k *Keeper) own() (rate.Limit, int) {
+	own := k.budget / float64(k.daemons)
+	return rate.Limit(own), max(leastBurst, int(own))
+}
+
+// SetDaemons changes the number of daemons that share the write budget.
+func (k *Keeper) SetDaemons(n int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if n = max(1, n); n == k.daemons {
+		return
+	}
+	k.daemons = n
+	own, burst := k.own()
+	now := k.clock()
+	k.limiter.SetLimitAt(now, own)
+	k.limiter.SetBurstAt(now, burst)
+}
+
 // Begin claims a request. It must succeed before the first byte of the request
 // is sent. Any error is a Refusal and means that this request has not run.
 // fingerprint is a digest of what makes the request the same: its method,
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -15,6 +15,7 @@
 	"rhubarbdrift.example/pick"
 	"rhubarbdrift.example/plan"
 	"rhubarbdrift.example/queue"
+	"rhubarbdrift.example/serve"
 	"rhubarbdrift.example/store"
 	"rhubarbdrift.example/wire"
 )
@@ -42,6 +43,11 @@
 	nameGauges   = "gauges"
 )
 
+// maxConnections bounds the connections to one target. Requests in flight are
+// limited by the picker, whose limit may reach the target's slots; a lower
+// bound here would refuse what the picker allows.
+const maxConnections = 256
+
 // state is what several services of the daemon share.
 type state struct {
 	store     store.Store
@@ -96,7 +102,7 @@
 	if err := kern.Provide(d.kernel, nameWire, server); err != nil {
 		return err
 	}
-	return kern.Provide(d.kernel, namePeers, &peerListener{address: d.settings.Listen.Peers, server: server, log: d.log})
+	return kern.Provide(d.kernel, namePeers, &serve.Peers{Address: d.settings.Listen.Peers, Server: server, Log: d.log})
 }
 
 // poolsOf returns the pools of a snapshot.
@@ -110,7 +116,7 @@
 }
 
 func (d *Daemon) buildPicker() error {
-	x := exch.New()
+	x := exch.New(exch.WithConnections(maxConnections))
 	if err := kern.Provide(d.kernel, nameExchange, x); err != nil {
 		return err
 	}
@@ -174,8 +180,8 @@
 	if err := kern.Provide(d.kernel, nameGate, g); err != nil {
 		return err
 	}
-	return kern.Provide(d.kernel, nameCallers, &listener{
-		name: nameCallers, address: d.settings.Listen.Callers, server: g.Server(), log: d.log, wait: g.Wait,
+	return kern.Provide(d.kernel, nameCallers, &serve.HTTP{
+		Name: nameCallers, Address: d.settings.Listen.Callers, Server: g.Server(), Log: d.log, Wait: g.Wait,
 	})
 }
 
@@ -188,7 +194,7 @@
 		admin.WithOperators(d.settings.Operators),
 		admin.WithMetrics(d.meter.Handler()),
 		admin.WithLog(d.log))
-	return kern.Provide(d.kernel, nameAdmin, &listener{
-		name: nameAdmin, address: d.settings.Listen.Admin, server: a.Server(), log: d.log,
+	return kern.Provide(d.kernel, nameAdmin, &serve.HTTP{
+		Name: nameAdmin, Address: d.settings.Listen.Admin, Server: a.Server(), Log: d.log,
 	})
 }
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -11,23 +11,26 @@
 	"rhubarbdrift.example/kern"
 	"rhubarbdrift.example/lease"
 	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/peers"
 	"rhubarbdrift.example/store"
 )
 
 // sweepInterval is the time between two batches of deletions.
 const sweepInterval = time.Second
 
-// fleetSize is the number of daemons that share the budget of claim writes.
-const fleetSize = 40
+// leastFleet is the number of daemons that share the budget of claim writes
+// while the host list shows fewer, which it may because it lags.
+const leastFleet = 40
 
 // sweepShard is the shard whose owner deletes old claims.
 const sweepShard model.Shard = 0
 
 // claims adapts package claim to the gate and deletes old claims.
 type claims struct {
-	keeper *claim.Keeper
-	leases *lease.Keeper
-	log    zerolog.Logger
+	keeper    *claim.Keeper
+	leases    *lease.Keeper
+	directory *peers.Directory
+	log       zerolog.Logger
 }
 
 // claimed is one claim of this daemon.
@@ -70,6 +73,7 @@
 			return nil
 		case <-t.C:
 		}
+		c.keeper.SetDaemons(max(leastFleet, len(c.directory.Hosts())))
 		if !c.leases.Holds(sweepShard) {
 			continue
 		}
@@ -89,6 +93,7 @@
 		return err
 	}
 	return kern.Provide(d.kernel, nameClaims, &claims{
-		keeper: claim.New(platform, claim.WithDaemons(fleetSize)), leases: leases, log: d.log,
+		keeper: claim.New(platform, claim.WithDaemons(leastFleet)), leases: leases,
+		directory: d.state.directory, log: d.log,
 	})
 }
--- a/eject/evidence.go
+++ b/eject/evidence.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,6 +39,9 @@
 	urgentInterval = 200 * time.Millisecond
 	// sendTimeout bounds the transfer of a report or a verdict set.
 	sendTimeout = 500 * time.Millisecond
+	// signInterval is the time between two verdict sets that say the same. The
+	// sets are the sign that the judge is live; they expire after 10 s.
+	signInterval = 3 * time.Second
 	// judgeIdle is how long a judge without reports goes on publishing.
 	judgeIdle = 10 * time.Second
 )
@@ -56,6 +60,13 @@
 	mu     sync.Mutex
 	judged map[model.PoolID]time.Time // last report of the pools judged here
 	sets   map[model.PoolID]*model.VerdictSet
+	sent   map[model.PoolID]sign
+}
+
+// sign is the last verdict set that was sent to the cell.
+type sign struct {
+	at   time.Time
+	list []model.Verdict
 }
 
 // ack is the answer to a report or a verdict set.
@@ -83,6 +94,7 @@
 		log:       p.Log,
 		judged:    make(map[model.PoolID]time.Time),
 		sets:      make(map[model.PoolID]*model.VerdictSet),
+		sent:      make(map[model.PoolID]sign),
 	}
 }
 
@@ -227,6 +239,9 @@
 func (e *Evidence) publishPool(ctx context.Context, id model.PoolID) {
 	set := e.judge.Verdicts(id)
 	e.apply(&set)
+	if !e.due(&set) {
+		return
+	}
 	for _, host := range e.cell.Live() {
 		address, ok := e.cell.Address(host)
 		if host == e.self || !ok {
@@ -239,6 +254,19 @@
 	}
 }
 
+// due reports whether a verdict set is sent: when it says something new, and
+// from time to time as a sign of life.
+func (e *Evidence) due(set *model.VerdictSet) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	last := e.sent[set.Pool]
+	if time.Since(last.at) < signInterval && slices.Equal(set.List, last.list) {
+		return false
+	}
+	e.sent[set.Pool] = sign{at: time.Now(), list: set.List}
+	return true
+}
+
 // apply uses a verdict set for the choice of targets.
 func (e *Evidence) apply(set *model.VerdictSet) {
 	if !e.picker.Apply(set) {
--- a/gate/call.go
+++ b/gate/call.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"rhubarbdrift.example/lazy"
+
 	"rhubarbdrift.example/refuse"
 	"rhubarbdrift.example/retry"
 	"rhubarbdrift.example/shape"
@@ -50,7 +52,7 @@
 	sent    bool         // a target may have run the request
 	release func()       // gives back the place in the pool
 	users   atomic.Int32 // of the place: run and its exchanges
-	life    until        // of the exchanges
+	life    lazy.Until   // of the exchanges
 }
 
 // serve answers the request or returns the refusal to send.
@@ -171,8 +173,8 @@
 	if c.customer == nil {
 		return nil
 	}
-	wait := &limit{at: c.earliest(admitWait)}
-	defer wait.end()
+	wait := lazy.New(c.earliest(admitWait))
+	defer wait.End()
 	token, err := c.gate.parts.Limiter.Admit(wait, c.customer)
 	if err == nil {
 		c.token = token
--- a/gate/run.go
+++ b/gate/run.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"rhubarbdrift.example/lazy"
+
 	"rhubarbdrift.example/refuse"
 	"rhubarbdrift.example/retry"
 	"rhubarbdrift.example/shape"
@@ -32,7 +34,7 @@
 		return c.giveUp(r)
 	}
 	c.tried, c.domains = c.places.tried[:0], c.places.domains[:0]
-	c.life = until{Context: context.Background(), at: c.deadline}
+	c.life = lazy.Until{Context: context.Background(), At: c.deadline}
 	out, r := c.attempt(hold)
 	c.leave()
 	if r != nil {
@@ -71,8 +73,8 @@
 // acquire waits for the pool's queue and a target with a free slot. The place
 // in the pool that the queue gives is kept for all attempts.
 func (c *call) acquire() (*pick.Hold, *refuse.Refusal) {
-	wait := &limit{at: c.deadline}
-	defer wait.end()
+	wait := lazy.New(c.deadline)
+	defer wait.End()
 	release, err := c.gate.parts.Queues.Enter(wait, c.pool.ID, c.customer, c.deadline)
 	if err != nil {
 		return nil, capacityRefusal(err)
