golden, kern, conf: one piece for golden files, tickers and digests

Cause: the read-through found the comparison with golden files three times, the same ticker loop in three services, and the check of a digest twice. Change: package golden, kern.Every, model.Digest.Valid in conf. No behaviour changes. Measured: tests of model, config, plan, conf, kern and the scenarios pass. Conclusion: none.

--- a/conf/root.go
+++ b/conf/root.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -20,8 +19,6 @@
 // others have committed since.
 const recentChanges = 16
 
-const digestLength = 64
-
 // Root names everything that belongs to one version of the configuration.
 type Root struct {
 	Version model.ConfigVersion     `json:"version"          cbor:"1,keyasint"`
@@ -39,7 +36,7 @@
 	if r.Change == "" {
 		return fault.Invalid("root change", "is empty", "give each change an id")
 	}
-	if !validDigest(r.Audit) {
+	if !r.Audit.Valid() {
 		return fault.Invalid("root audit", "is not a SHA-256 digest", "give the digest of the audit record")
 	}
 	if len(r.Recent) > recentChanges {
@@ -49,7 +46,7 @@
 		if _, ok := groupOf(name); !ok {
 			return fault.Invalid("root chunks", fmt.Sprintf("name %q is unknown", name), "use the names that Build makes")
 		}
-		if !validDigest(d) {
+		if !d.Valid() {
 			return fault.Invalid("root chunks", "chunk "+name+" has no SHA-256 digest", "give the digest of the chunk")
 		}
 	}
@@ -62,10 +59,6 @@
 	return r.Change == change || slices.Contains(r.Recent, change)
 }
 
-func validDigest(d model.Digest) bool {
-	return len(d) == digestLength && strings.Trim(string(d), "0123456789abcdef") == ""
-}
-
 // EncodeRoot returns the root's CBOR form, the value of the root object.
 func EncodeRoot(r *Root) ([]byte, error) { return encoder.Marshal(r) }
 
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -65,21 +65,16 @@
 
 // Run deletes claims past their retention while this daemon owns the shard for it.
 func (c *claims) Run(ctx context.Context) error {
-	t := time.NewTicker(sweepInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
-		c.keeper.SetDaemons(max(leastFleet, len(c.directory.Hosts())))
-		if !c.leases.Holds(sweepShard) {
-			continue
-		}
-		if n, err := c.keeper.Sweep(ctx); err != nil {
-			c.log.Debug().Err(err).Int("deleted", n).Msg("old claims not deleted")
-		}
+	return kern.Every(ctx, sweepInterval, c.sweep)
+}
+
+func (c *claims) sweep(ctx context.Context) {
+	c.keeper.SetDaemons(max(leastFleet, len(c.directory.Hosts())))
+	if !c.leases.Holds(sweepShard) {
+		return
+	}
+	if n, err := c.keeper.Sweep(ctx); err != nil {
+		c.log.Debug().Err(err).Int("deleted", n).Msg("old claims not deleted")
 	}
 }
 
--- a/daemon/gauge.go
+++ b/daemon/gauge.go
@@ -22,19 +22,10 @@
 
 // Run updates the gauges until ctx ends.
 func (g *gauges) Run(ctx context.Context) error {
-	t := time.NewTicker(gaugeInterval)
-	defer t.Stop()
-	for {
-		g.update()
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
-	}
+	return kern.Every(ctx, gaugeInterval, g.update)
 }
 
-func (g *gauges) update() {
+func (g *gauges) update(context.Context) {
 	sent, received := g.daemon.state.counters.Bytes()
 	g.scope.Gauge("control_sent_bytes").Update(float64(sent))
 	g.scope.Gauge("control_received_bytes").Update(float64(received))
--- a/eject/probe.go
+++ b/eject/probe.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"rhubarbdrift.example/exch"
+	"rhubarbdrift.example/kern"
 	"rhubarbdrift.example/model"
 )
 
@@ -28,16 +29,7 @@
 
 // Run probes until ctx ends.
 func (p *Probes) Run(ctx context.Context) error {
-	t := time.NewTicker(reportInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-			p.round(ctx)
-		}
-	}
+	return kern.Every(ctx, reportInterval, p.round)
 }
 
 func (p *Probes) round(ctx context.Context) {
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -1,18 +1,15 @@
 package plan
 
 import (
-	"flag"
-	"os"
 	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
 
+	"rhubarbdrift.example/golden"
 	"rhubarbdrift.example/model"
 )
 
-var update = flag.Bool("update", false, "rewrite the golden files")
-
 func digest(c string) model.Digest { return model.DigestOf([]byte(c)) }
 
 func base() *model.Intent {
@@ -47,12 +44,7 @@
 	}
 	lines = append(lines, Warnings(from, to)...)
 	got := strings.Join(lines, "\n") + "\n"
-	if *update {
-		must.NoError(t, os.WriteFile("testdata/diff.golden", []byte(got), 0o600))
-	}
-	want, err := os.ReadFile("testdata/diff.golden")
-	must.NoError(t, err)
-	must.EqOp(t, string(want), got)
+	golden.Compare(t, "testdata/diff.golden", got)
 }
 
 // TestApplyRefusesMissing guards against an edit that is applied in part.
