conf, daemon: list the pools without copying all customers

Measured: lint clean; conf tests and the scenarios pass under the race detector. The saving was not measured. Conclusion: none of the other pairs of similar lines that were looked at is the same logic; the rest was not read.

--- a/conf/snapshot.go
+++ b/conf/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 
@@ -115,6 +116,14 @@
 	return data, ok
 }
 
+// Pools returns all pools in the order of their ids. The list is new; the pools
+// are the snapshot's.
+func (s *Snapshot) Pools() []*model.Pool {
+	list := slices.Collect(maps.Values(s.pools))
+	slices.SortFunc(list, func(a, b *model.Pool) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
 // Intent returns the configuration as one intent, in the order of the ids. The
 // lists are new; what the entries point to is shared with the snapshot.
 func (s *Snapshot) Intent() *model.Intent {
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -10,7 +10,6 @@
 	"rhubarbdrift.example/exch"
 	"rhubarbdrift.example/gate"
 	"rhubarbdrift.example/kern"
-	"rhubarbdrift.example/model"
 	"rhubarbdrift.example/peers"
 	"rhubarbdrift.example/pick"
 	"rhubarbdrift.example/plan"
@@ -105,16 +104,6 @@
 	return kern.Provide(d.kernel, namePeers, &serve.Peers{Address: d.settings.Listen.Peers, Server: server, Log: d.log})
 }
 
-// poolsOf returns the pools of a snapshot.
-func poolsOf(s *conf.Snapshot) []*model.Pool {
-	in := s.Intent()
-	list := make([]*model.Pool, len(in.Pools))
-	for i := range in.Pools {
-		list[i] = &in.Pools[i]
-	}
-	return list
-}
-
 func (d *Daemon) buildPicker() error {
 	x := exch.New(exch.WithConnections(maxConnections))
 	if err := kern.Provide(d.kernel, nameExchange, x); err != nil {
@@ -123,7 +112,7 @@
 	p := pick.New(d.self())
 	update := func() {
 		if c := d.snapshot(); c != nil {
-			p.Update(poolsOf(c), d.fleet())
+			p.Update(c.Pools(), d.fleet())
 		}
 	}
 	d.state.holder.Subscribe(func(*conf.Snapshot) { update() })
--- a/daemon/queue.go
+++ b/daemon/queue.go
@@ -17,6 +17,6 @@
 	limit := d.settings.Queue
 	s := queue.NewSet(picker, queue.WithLength(limit.Customer, limit.Pool),
 		queue.WithLog(d.log), queue.WithMeter(d.meter.Scope()))
-	d.state.holder.Subscribe(func(c *conf.Snapshot) { s.Update(poolsOf(c)) })
+	d.state.holder.Subscribe(func(c *conf.Snapshot) { s.Update(c.Pools()) })
 	return kern.Provide(d.kernel, nameQueues, s)
 }
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -61,7 +61,11 @@
 		return nil
 	}
 	var list []admin.TargetStatus
-	for _, pool := range d.Intent().Pools {
+	c := d.snapshot()
+	if c == nil {
+		return nil
+	}
+	for _, pool := range c.Pools() {
 		for _, t := range p.Status(pool.ID) {
 			list = append(list, d.target(pool.ID, t))
 		}
