cmds: give each script a loopback IP of its own

Ruled out: slowness of the daemons, since the failing address answered at once, with 400 or a refused connection.

--- a/cmds/script_test.go
+++ b/cmds/script_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -46,18 +48,22 @@
 	})
 }
 
-// setup gives each script free addresses and digests in its environment.
+// firstPort is the first port of a script's addresses. It lies below the range
+// that the system gives to outgoing connections.
+const firstPort = 7001
+
+// setup gives each script addresses that no other process takes, and digests,
+// in its environment. The addresses share a loopback IP of the script's own.
 func setup(e *testscript.Env) error {
-	for _, name := range []string{
+	ip, err := ownIP(e)
+	if err != nil {
+		return err
+	}
+	for i, name := range []string{
 		"PLATFORM", "TARGET", "CALLERS", "PEERS", "ADMIN",
 		"CALLERS2", "PEERS2", "ADMIN2", "CALLERS3", "PEERS3", "ADMIN3", "LINK", "SWITCH",
 	} {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		e.Setenv(name, ln.Addr().String())
-		_ = ln.Close()
+		e.Setenv(name, net.JoinHostPort(ip, strconv.Itoa(firstPort+i)))
 	}
 	e.Setenv("KEY", scriptKey)
 	e.Setenv("DIGEST", string(model.DigestOf([]byte(scriptKey))))
@@ -66,6 +72,23 @@
 	return nil
 }
 
+// ownIP returns a loopback IP and keeps a listener on it until the script ends,
+// so that scripts of other test processes choose another one.
+func ownIP(e *testscript.Env) (string, error) {
+	const tries = 100
+	var last error
+	for range tries {
+		ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250))
+		ln, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(firstPort-1)))
+		if err == nil {
+			e.Defer(func() { _ = ln.Close() })
+			return ip, nil
+		}
+		last = err
+	}
+	return "", fmt.Errorf("no free loopback IP in %d tries: %w", tries, last)
+}
+
 // expand replaces environment variables in files: expand FILE...
 func expand(ts *testscript.TestScript, _ bool, args []string) {
 	for _, f := range args {
