entry, platform: serve the users' platform by one role, first thin path

Cause: the product had no way to speak the users' store, settings and headers. New packages keep the decisions apart: lists (what the store says), grade (health of a target), place (choice), limit (limits over the fleet), mesh (what daemons tell each other), proxy (a request's way), entry (a host); platform translates. store.Client takes a dialect, exch takes header names, so there is one client and one exchange. Ruled out: cells, leases and claims on this path; the store's watch proves freshness to each host, and no key for repeats exists.

--- a/cmds/root.go
+++ b/cmds/root.go
@@ -83,7 +83,7 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
 		return fault.Wrap(usageKind, err, "wrong command line", "see the command's --help")
 	})
-	root.AddCommand(newDaemon(), newCheck(), newKey(), newVersion(),
+	root.AddCommand(newDaemon(), newEntry(), newCheck(), newKey(), newVersion(),
 		newPlan(), newConfirm(), newShow(), newStatus(), newAudit())
 	root.AddCommand(devcmd.Commands()...)
 	return root
--- a/conf/snapshot.go
+++ b/conf/snapshot.go
@@ -63,6 +63,15 @@
 	return s, nil
 }
 
+// Of builds the snapshot of an intent that a platform keeps whole, without
+// chunks. The caller has checked the intent.
+func Of(version model.ConfigVersion, in *model.Intent) *Snapshot {
+	p := &part{Customers: in.Customers, Routes: in.Routes, Pools: in.Pools}
+	s := &Snapshot{root: Root{Version: version}, parts: map[model.Digest]*part{"": p}}
+	s.index()
+	return s
+}
+
 func (s *Snapshot) add(name string, d model.Digest, get func(model.Digest) ([]byte, error), base *Snapshot) error {
 	if base != nil && base.parts[d] != nil {
 		s.data[d], s.parts[d] = base.data[d], base.parts[d]
--- a/exch/client.go
+++ b/exch/client.go
@@ -58,6 +58,9 @@
 // WithDial replaces the function that opens connections.
 func WithDial(dial DialFunc) Option { return func(c *Client) { c.dial = dial } }
 
+// WithHeaders sets the names of the headers that are exchanged with targets.
+func WithHeaders(h Headers) Option { return func(c *Client) { c.headers = h } }
+
 // Client runs exchanges and keeps the connections to all targets.
 type Client struct {
 	connections int
@@ -67,6 +70,7 @@
 	idle        time.Duration
 	buffer      int
 	dial        DialFunc
+	headers     Headers
 
 	mu     sync.RWMutex
 	pools  map[string]*pool // by address
@@ -82,6 +86,7 @@
 		connect:     DefaultConnect,
 		idle:        DefaultIdle,
 		buffer:      DefaultBuffer,
+		headers:     ownHeaders,
 		pools:       make(map[string]*pool),
 	}
 	var d net.Dialer
--- a/exch/exchange.go
+++ b/exch/exchange.go
@@ -20,6 +20,10 @@
 // limits the response header.
 const bufferSize = 16 << 10
 
+// maxLate is the number of responses that are read for one request: its own,
+// and before it late ones to earlier requests on the connection.
+const maxLate = 3
+
 var (
 	readers   = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferSize) }}
 	writers   = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferSize) }}
@@ -71,7 +75,10 @@
 		x.conn.pool.put(x.conn)
 		return x.refuse(fault.New(fault.Late, "the deadline passed before the request was sent", "allow more time"))
 	}
-	req.Header.Set(HeaderDeadline, strconv.FormatInt(left.Milliseconds(), 10))
+	if name := c.headers.Expect; name != "" {
+		req.Header.Set(name, string(target.ID))
+	}
+	req.Header.Set(c.headers.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
 	if len(req.Header.Host()) == 0 && len(req.URI().Host()) == 0 {
 		req.Header.SetHost(target.Address)
 	}
@@ -156,17 +163,20 @@
 	x.answer.Header.SetNoDefaultContentType(true)
 	x.answer.StreamBody = true
 	x.answer.SkipBody = req.Header.IsHead()
-	if err := x.answer.ReadLimitBody(x.reader, 0); err != nil {
+	if err := x.next(req); err != nil {
 		return x.fail(errors.Join(x.partly, err))
 	}
 	x.out.Wait = time.Since(x.start)
 	h := &x.answer.Header
 	x.out.Status = h.StatusCode()
-	shed := x.out.Status == fasthttp.StatusServiceUnavailable && string(h.Peek(HeaderShed)) == "1"
-	x.out.Draining = string(h.Peek(HeaderDrain)) == "1" || shed && h.ConnectionClose()
+	shed := x.refused(h)
+	x.out.Draining = x.marked(h, x.client.headers.Drain) || !x.out.Moved && shed && h.ConnectionClose() && !x.client.headers.AnyShed
 	if x.out.Status == fasthttp.StatusSwitchingProtocols {
 		return x.fail(errors.New("the target switched protocols"))
 	}
+	if problem := x.foreign(h); problem != "" && !shed {
+		return x.fail(errors.New(problem))
+	}
 	h.CopyTo(&resp.Header)
 	resp.Header.ResetConnectionClose()
 	x.out.Class = Whole
@@ -176,6 +186,66 @@
 	return x.attach(resp)
 }
 
+// next reads the header of the response to req. A response that names another
+// request arrived late on the connection and is passed over.
+func (x *exchange) next(req *fasthttp.Request) error {
+	for range maxLate {
+		if err := x.answer.ReadLimitBody(x.reader, 0); err != nil {
+			return err
+		}
+		name := x.client.headers.Request
+		if name == "" || string(x.answer.Header.Peek(name)) == string(req.Header.Peek(name)) {
+			return nil
+		}
+		size := x.answer.Header.ContentLength()
+		if size < -1 {
+			break
+		}
+		if body := x.answer.BodyStream(); body != nil && size != 0 {
+			if _, err := io.Copy(io.Discard, body); err != nil {
+				return err
+			}
+		}
+		x.answer.Reset()
+		x.answer.Header.SetNoDefaultContentType(true)
+		x.answer.StreamBody = true
+		x.answer.SkipBody = req.Header.IsHead()
+	}
+	return errors.New("the response names another request")
+}
+
+// refused reports whether the response says that the target did not run the request.
+func (x *exchange) refused(h *fasthttp.ResponseHeader) bool {
+	names := &x.client.headers
+	if names.Expect != "" && h.StatusCode() == fasthttp.StatusMisdirectedRequest {
+		x.out.Moved = true
+		return true
+	}
+	if names.AnyShed {
+		return len(h.Peek(names.Shed)) > 0
+	}
+	return h.StatusCode() == fasthttp.StatusServiceUnavailable && x.marked(h, names.Shed)
+}
+
+func (x *exchange) marked(h *fasthttp.ResponseHeader, name string) bool {
+	return name != "" && string(h.Peek(name)) == "1"
+}
+
+// foreign says why a success cannot be what the target sent, or "".
+func (x *exchange) foreign(h *fasthttp.ResponseHeader) string {
+	name := x.client.headers.Signature
+	if name == "" || h.StatusCode() < fasthttp.StatusOK || h.StatusCode() >= fasthttp.StatusMultipleChoices {
+		return ""
+	}
+	if len(h.Peek(name)) == 0 {
+		return "the response has no " + name
+	}
+	if len(h.ContentEncoding()) > 0 {
+		return "the response is encoded, although no encoding was asked for"
+	}
+	return ""
+}
+
 // attach hands the body to the caller.
 func (x *exchange) attach(resp *fasthttp.Response) Outcome {
 	stream, size := x.answer.BodyStream(), x.answer.Header.ContentLength()
--- a/exch/outcome.go
+++ b/exch/outcome.go
@@ -12,6 +12,21 @@
 	HeaderDrain = "Rhubarbdrift-Drain"
 )
 
+// Headers names the headers that are exchanged with targets. An empty name
+// leaves the feature out.
+type Headers struct {
+	Deadline  string // request: the time left in milliseconds
+	Expect    string // request: the id of the target that shall run it; others answer 421 and do not
+	Shed      string // response: the target did not run the request
+	AnyShed   bool   // Shed counts with every status and value, not only "1" with 503
+	Drain     string // response: the target should receive no new work
+	Request   string // request and response: the request's id, which the target echoes
+	Signature string // response: without it a success is not the target's
+}
+
+// ownHeaders are the names of rhubarbdrift's own protocol.
+var ownHeaders = Headers{Deadline: HeaderDeadline, Shed: HeaderShed, Drain: HeaderDrain}
+
 // Class says what is known about an exchange after its end.
 type Class uint8
 
@@ -50,6 +65,7 @@
 	Unframed bool          // the response had neither length nor chunking
 	Canceled bool          // the caller ended the exchange, which says nothing about the target
 	Stalled  bool          // the body made no progress for the progress deadline
+	Moved    bool          // another target has the address; the request did not run
 	Status   int           // status code, 0 without a response header
 	Written  int64         // bytes of the request handed to the connection
 	Received int64         // bytes of the response
--- /dev/null
+++ b/limit/limit.go
@@ -0,0 +1,123 @@
+// Package limit admits requests within limits that hold over the whole fleet,
+// while the daemons learn of each other's admissions a moment later.
+//
+// Each daemon keeps the same token bucket for a limit. Its own admissions and
+// those that the others report take tokens. Daemons that this one does not
+// hear of may use their part of the limit, so the bucket has only the part of
+// the daemons that it does hear of. While a bucket is low, the daemons admit
+// only the share of requests that the rate allows, since the reports of all of
+// them are late by the same moment.
+//
+// # Usage
+//
+//	b := limit.New(now, limit.Size{Rate: 64, Burst: 64})
+//	if wait, ok := b.Admit(now, rand.Float64()); !ok {
+//		// tell the caller to come back after wait
+//	}
+//	b.Others(now, admitted, asked) // a report of the other daemons
+package limit
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// usable is the part of the burst that the bucket holds. The rest covers
+	// what is admitted while reports are under way.
+	usable = 0.6
+	// low is the part of the bucket below which requests are admitted in
+	// proportion to the rate.
+	low = 0.5
+	// first is the part of the bucket that a new daemon starts with; what the
+	// others have used is not known to it yet.
+	first = 0.2
+	// demandLife is the time over which demand is averaged: a few reports.
+	demandLife = time.Second
+	// maxWait bounds the time after which a caller is told to come back.
+	maxWait = time.Second
+)
+
+// Size is a limit.
+type Size struct {
+	Rate  float64 // requests per second
+	Burst float64 // requests
+}
+
+// Bucket is one limit as this daemon sees it. It is not safe for concurrent use.
+type Bucket struct {
+	size   Size
+	part   float64 // of the fleet that this daemon hears of, itself included
+	tokens float64
+	demand float64 // requests per second of that part, admitted or not
+	at     time.Time
+}
+
+// New returns a bucket for the whole fleet.
+func New(now time.Time, size Size) *Bucket {
+	b := &Bucket{size: size, part: 1, at: now}
+	b.tokens = first * b.capacity()
+	return b
+}
+
+// Resize changes the limit.
+func (b *Bucket) Resize(now time.Time, size Size) {
+	b.advance(now)
+	b.size = size
+	b.tokens = min(b.tokens, b.capacity())
+}
+
+// Part sets the part of the fleet that this daemon hears of, from 0 to 1.
+func (b *Bucket) Part(now time.Time, part float64) {
+	b.advance(now)
+	b.part = min(max(part, 0), 1)
+	b.tokens = min(b.tokens, b.capacity())
+}
+
+func (b *Bucket) capacity() float64 { return max(1, usable*b.size.Burst*b.part) }
+
+func (b *Bucket) rate() float64 { return b.size.Rate * b.part }
+
+func (b *Bucket) advance(now time.Time) {
+	passed := now.Sub(b.at).Seconds()
+	if passed <= 0 {
+		return
+	}
+	b.at = now
+	b.tokens = min(b.tokens+passed*b.rate(), b.capacity())
+	b.demand *= math.Exp(-passed / demandLife.Seconds())
+}
+
+// Others takes the requests that other daemons admitted and were asked for.
+func (b *Bucket) Others(now time.Time, admitted, asked float64) {
+	b.advance(now)
+	b.tokens -= admitted
+	b.demand += asked / demandLife.Seconds()
+}
+
+// Admit decides on one request. Chance is a random number from 0 to 1. If the
+// request is over the limit, wait says when another try makes sense.
+func (b *Bucket) Admit(now time.Time, chance float64) (wait time.Duration, ok bool) {
+	b.advance(now)
+	b.demand += 1 / demandLife.Seconds()
+	if b.tokens < 1 {
+		return b.wait(), false
+	}
+	if b.tokens < low*b.capacity() && b.demand > b.rate() && chance > b.rate()/b.demand {
+		return b.wait(), false
+	}
+	b.tokens--
+	return 0, true
+}
+
+// Cancel gives back the token of a request that was not sent.
+func (b *Bucket) Cancel() { b.tokens = min(b.tokens+1, b.capacity()) }
+
+// wait returns the time until the bucket is no longer low.
+func (b *Bucket) wait() time.Duration {
+	missing := max(1, low*b.capacity()) - b.tokens
+	if b.rate() <= 0 {
+		return maxWait
+	}
+	return min(max(time.Duration(missing/b.rate()*float64(time.Second)), 0), maxWait)
+}
--- /dev/null
+++ b/mesh/doc.go
@@ -0,0 +1,22 @@
+// Package mesh tells each daemon what happened at all others: what exchanges
+// with targets showed, and how much of their limits customers and pools used.
+//
+// The daemons form a tree. Each one exchanges messages with one parent, and a
+// message over a link holds the sum of what all other links and the host
+// itself reported since the last one. In a tree each report reaches each host
+// once, and a host sends and receives a few messages a second however large
+// the fleet is; only the first host of a region has many children.
+//
+// The parent is the best host that answers, in an order that is the same
+// everywhere, so a lost parent is replaced without a vote. A host that loses
+// its part of the tree knows how many hosts it still hears of.
+//
+// # Usage
+//
+//	node := mesh.NewNode(self, time.Now, func(s *mesh.Sum) { ... })
+//	mesh.Serve(server, node)
+//	runner := mesh.NewRunner(node, pool, hosts, mesh.WithLog(log))
+//	go runner.Run(ctx)
+//	...
+//	node.Note(func(s *mesh.Sum) { s.Target(id, mesh.Tally{Good: 1}) })
+package mesh
--- /dev/null
+++ b/mesh/run.go
@@ -0,0 +1,216 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/wire"
+)
+
+const (
+	// method is the name of the exchange on the wire.
+	method = "mesh"
+	// interval is the time between two messages to the parent.
+	interval = 200 * time.Millisecond
+	// most is the number of messages a second that a host takes from its
+	// children; beyond it the interval grows. At 0.2 ms each this is a tenth of
+	// half a core.
+	most = 300
+	// patience bounds one exchange: a round trip between regions is 24 ms.
+	patience = 500 * time.Millisecond
+	// retryAfter is the pause before a host that did not answer is tried again,
+	// doubled up to retryMost.
+	retryAfter = time.Second
+	retryMost  = 8 * time.Second
+	// probeEvery is how often the first host of a region looks for hosts that
+	// ended.
+	probeEvery = 500 * time.Millisecond
+	// probeLimit bounds one look.
+	probeLimit = 200 * time.Millisecond
+)
+
+// Message is one side of an exchange.
+type Message struct {
+	From model.HostID `cbor:"1,keyasint"`
+	Sum  Sum          `cbor:"2,keyasint"`
+}
+
+// Serve registers the exchange with children.
+func Serve(s *wire.Server, n *Node) {
+	wire.Handle(s, method, func(_ context.Context, m *Message) (*Message, error) {
+		n.Receive(m.From, &m.Sum)
+		return &Message{From: n.self.ID, Sum: n.Take(m.From)}, nil
+	})
+}
+
+// Runner keeps the node's place in the tree.
+type Runner struct {
+	node  *Node
+	pool  *wire.Pool
+	hosts func() []Host
+	log   zerolog.Logger
+
+	mu     sync.Mutex
+	down   map[model.HostID]outage
+	parent model.HostID
+}
+
+type outage struct {
+	until time.Time
+	pause time.Duration
+}
+
+// Option sets an optional property of a Runner.
+type Option func(*Runner)
+
+// WithLog sets the logger.
+func WithLog(l zerolog.Logger) Option { return func(r *Runner) { r.log = l } }
+
+// NewRunner returns a runner. The function hosts returns the known daemons.
+func NewRunner(n *Node, p *wire.Pool, hosts func() []Host, options ...Option) *Runner {
+	r := &Runner{node: n, pool: p, hosts: hosts, log: zerolog.Nop(), down: make(map[model.HostID]outage)}
+	for _, o := range options {
+		o(r)
+	}
+	return r
+}
+
+// Run exchanges messages with the parent until ctx ends.
+func (r *Runner) Run(ctx context.Context) error {
+	next := time.NewTimer(interval)
+	defer next.Stop()
+	var probed time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-next.C:
+		}
+		hosts := r.hosts()
+		r.exchange(ctx, Parents(r.node.self, hosts))
+		if time.Since(probed) >= probeEvery {
+			probed = time.Now()
+			r.probe(ctx, hosts)
+		}
+		next.Reset(max(interval, time.Duration(len(hosts))*time.Second/most))
+	}
+}
+
+// exchange sends the message to the best parent that answers.
+func (r *Runner) exchange(ctx context.Context, parents []Host) {
+	for _, h := range parents {
+		if r.isDown(h.ID) {
+			continue
+		}
+		if r.call(ctx, h) {
+			r.adopt(h.ID)
+			return
+		}
+		if ctx.Err() != nil {
+			return
+		}
+	}
+	r.adopt("")
+}
+
+func (r *Runner) call(ctx context.Context, h Host) bool {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	out := r.node.Take(h.ID)
+	answer, err := wire.Call[Message, Message](ctx, r.pool.Client(h.Address), method, &Message{From: r.node.self.ID, Sum: out})
+	if err != nil {
+		// What the message held is lost: the host may have taken it.
+		r.node.Drop(h.ID)
+		r.fail(h.ID, err)
+		return false
+	}
+	r.node.Receive(h.ID, &answer.Sum)
+	r.mu.Lock()
+	delete(r.down, h.ID)
+	r.mu.Unlock()
+	return true
+}
+
+// adopt notes the parent and ends the link to the one before.
+func (r *Runner) adopt(id model.HostID) {
+	if id == r.parent {
+		return
+	}
+	if r.parent != "" {
+		r.node.Drop(r.parent)
+	}
+	r.log.Info().Str("parent", string(id)).Str("before", string(r.parent)).Int("hosts", r.node.Hosts()).Msg("mesh parent changed")
+	r.parent = id
+}
+
+func (r *Runner) isDown(id model.HostID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Now().Before(r.down[id].until)
+}
+
+func (r *Runner) fail(id model.HostID, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o := r.down[id]
+	o.pause = min(max(2*o.pause, retryAfter), retryMost)
+	o.until = time.Now().Add(o.pause)
+	r.down[id] = o
+	r.log.Warn().Err(err).Str("peer", string(id)).Dur("pause", o.pause).Msg("mesh peer does not answer")
+}
+
+// probe counts the hosts of the region that run no daemon, if this host is the
+// region's first: their ports refuse connections. They use nothing of any
+// limit, unlike hosts that are only out of reach.
+func (r *Runner) probe(ctx context.Context, hosts []Host) {
+	if r.parent != "" && r.regionOf(hosts, r.parent) == r.node.self.Region {
+		r.node.Ended(0)
+		return
+	}
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	ended := 0
+	for _, h := range hosts {
+		if h.Region != r.node.self.Region || h.ID == r.node.self.ID || r.node.Linked(h.ID) {
+			continue
+		}
+		wait.Go(func() {
+			if refuses(ctx, h.Address) {
+				mu.Lock()
+				ended++
+				mu.Unlock()
+			}
+		})
+	}
+	wait.Wait()
+	r.node.Ended(ended)
+}
+
+func (r *Runner) regionOf(hosts []Host, id model.HostID) model.Region {
+	for _, h := range hosts {
+		if h.ID == id {
+			return h.Region
+		}
+	}
+	return ""
+}
+
+// refuses reports whether a connection is refused at once.
+func refuses(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeLimit)
+	defer cancel()
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", address)
+	if err == nil {
+		_ = c.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -12,6 +12,7 @@
 
 import (
 	"io"
+	"net/http"
 	"time"
 
 	client "github.com/prometheus/client_golang/prometheus"
@@ -29,6 +30,7 @@
 	scope  tally.Scope
 	closer io.Closer
 	page   fasthttp.RequestHandler
+	plain  http.Handler
 }
 
 // New returns a meter without values.
@@ -42,7 +44,7 @@
 		Separator:       prometheus.DefaultSeparator,
 		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
 	}, interval)
-	return &Meter{scope: scope, closer: closer, page: fasthttpadaptor.NewFastHTTPHandler(r.HTTPHandler())}
+	return &Meter{scope: scope, closer: closer, page: fasthttpadaptor.NewFastHTTPHandler(r.HTTPHandler()), plain: r.HTTPHandler()}
 }
 
 // Scope returns the root scope.
@@ -51,5 +53,8 @@
 // Handler serves the metrics page.
 func (m *Meter) Handler() fasthttp.RequestHandler { return m.page }
 
+// Page serves the metrics page with the standard library's server.
+func (m *Meter) Page() http.Handler { return m.plain }
+
 // Close stops reporting.
 func (m *Meter) Close() error { return m.closer.Close() }
--- a/model/intent.go
+++ b/model/intent.go
@@ -52,6 +52,7 @@
 	Burst  Burst      `json:"burst"            cbor:"3,keyasint"` // requests over the fleet
 	Weight int        `json:"weight,omitempty" cbor:"4,keyasint,omitempty"`
 	Keys   []Key      `json:"keys,omitempty"   cbor:"5,keyasint,omitempty"`
+	Rank   *int       `json:"rank,omitempty"   cbor:"6,keyasint,omitempty"` // goes before the route's rank
 }
 
 // Route maps requests by host and path prefix to a pool.
@@ -66,6 +67,10 @@
 	Outage    Outage       `json:"outage,omitempty"    cbor:"8,keyasint,omitempty"`  // default: refuse
 	Deadline  Millis       `json:"deadline,omitempty"  cbor:"9,keyasint,omitempty"`  // default: DefaultDeadline
 	Body      int          `json:"body,omitempty"      cbor:"10,keyasint,omitempty"` // largest request body in bytes
+	Objective Millis       `json:"objective,omitempty" cbor:"11,keyasint,omitempty"` // time in which an answer has its full worth
+	Rank      int          `json:"rank,omitempty"      cbor:"12,keyasint,omitempty"` // 0 is the most urgent
+	Attempts  int          `json:"attempts,omitempty"  cbor:"13,keyasint,omitempty"` // targets that one request may be sent to; 0: no limit of the route's own
+	Split     []Part       `json:"split,omitempty"     cbor:"14,keyasint,omitempty"` // divides the requests over pools instead of Pool
 }
 
 // DefaultDeadline is the time that a route without a deadline allows for a request.
--- /dev/null
+++ b/proxy/decide.go
@@ -0,0 +1,92 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"rhubarbdrift.example/exch"
+	"rhubarbdrift.example/grade"
+)
+
+// next says what follows after an exchange.
+type next uint8
+
+const (
+	deliver   next = iota // the caller gets the answer
+	elsewhere             // the request did not run; another target gets it
+	repeat                // the request may be repeated at another target
+	lost                  // the outcome is not known, and the request may not be repeated
+)
+
+// decide says what follows after an exchange. It answers which results may be
+// sent again without running a request twice.
+func decide(out *exch.Outcome, repeatable bool) next {
+	switch {
+	case out.NotRun():
+		return elsewhere
+	case out.Class == exch.Whole && out.Status < fasthttp.StatusInternalServerError:
+		return deliver
+	case repeatable:
+		return repeat
+	case out.Class == exch.Whole:
+		return deliver
+	default:
+		return lost
+	}
+}
+
+// promises reports whether a status tells the caller that the request did not
+// run, which only the daemon itself may say.
+func promises(status int) bool {
+	switch status {
+	case fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest,
+		fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
+// sightOf says what an exchange showed of its target. Slow is whether the
+// request had already counted as slow; idle says that the target told of free
+// slots while it refused.
+func sightOf(out *exch.Outcome, slow, idle bool) (s grade.Sight, ok bool) {
+	switch {
+	case out.Canceled:
+		return 0, false
+	case out.Class == exch.NotRun, out.Class == exch.Silent, out.Moved:
+		return grade.Lost, true
+	case out.Class == exch.Shed:
+		return grade.Slow, idle
+	case out.Class != exch.Whole || out.Status >= fasthttp.StatusInternalServerError:
+		return grade.Bad, true
+	default:
+		return grade.Good, !slow
+	}
+}
+
+// tries bounds the targets that one request reaches, and those that it is
+// tried at including the ones that could not be reached.
+const (
+	maxRefused = 3
+	maxTried   = 6
+)
+
+// limits are what another send has to keep.
+type limits struct {
+	attempts int // targets that may run the request
+	sends    int // so far, of which the target got bytes
+	tried    int // so far, in all
+	left     time.Duration
+	work     time.Duration // usual time of the request
+}
+
+// allowed reports whether there is room and time for another send.
+func (l limits) allowed(refused bool) bool {
+	most := l.attempts
+	if refused {
+		most = max(most, maxRefused)
+	}
+	return l.sends < most && l.tried < maxTried && l.left > l.work/2
+}
--- a/store/client.go
+++ b/store/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -22,16 +21,21 @@
 	defaultWatchTimeout = 30 * time.Second
 )
 
+// keepAlive ends a connection that went silent, on which a watch would wait in vain.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
+
 // errDial marks a connection that could not be opened, so that a call
 // certainly had no effect.
 var errDial = errors.New("no connection")
 
-// Client is a Store that calls the platform over HTTP. The protocol is
-// described in package plat.
+// Client is a Store that calls the platform over HTTP, by default in the
+// protocol of package plat.
 type Client struct {
 	base    string
+	dialect Dialect
 	timeout time.Duration
 	watch   time.Duration
+	wait    time.Duration
 	http    *fasthttp.HostClient
 }
 
@@ -45,10 +49,17 @@
 // the platform lets a watch wait. The default is 30 s.
 func WithWatchTimeout(d time.Duration) ClientOption { return func(c *Client) { c.watch = d } }
 
+// WithDialect sets the form of the calls and answers.
+func WithDialect(d Dialect) ClientOption { return func(c *Client) { c.dialect = d } }
+
+// WithWaitLimit sets how long a watch lets the platform wait for a change, if the
+// dialect can say so.
+func WithWaitLimit(d time.Duration) ClientOption { return func(c *Client) { c.wait = d } }
+
 // NewClient returns a client of the platform at a base URL such as
 // "http://10.0.0.1:7000".
 func NewClient(base string, options ...ClientOption) *Client {
-	c := &Client{base: base, timeout: defaultTimeout, watch: defaultWatchTimeout}
+	c := &Client{base: base, dialect: plain{}, timeout: defaultTimeout, watch: defaultWatchTimeout, wait: defaultWatchTimeout}
 	for _, o := range options {
 		o(c)
 	}
@@ -74,22 +85,14 @@
 	if limit <= 0 || limit > defaultDialTimeout {
 		limit = defaultDialTimeout
 	}
-	conn, err := net.DialTimeout("tcp", address, limit)
+	d := net.Dialer{Timeout: limit, KeepAliveConfig: keepAlive}
+	conn, err := d.Dial("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errDial, err)
 	}
 	return conn, nil
 }
 
-// call is one exchange with the platform.
-type call struct {
-	method string
-	path   string
-	query  url.Values
-	body   []byte
-	limit  time.Duration
-}
-
 type reply struct {
 	status int
 	body   []byte
@@ -98,62 +101,73 @@
 
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, kind Kind, name string) (Object, error) {
-	var o Object
-	r := c.do(ctx, call{method: fasthttp.MethodGet, path: objectPath(kind), query: url.Values{"name": {name}}, limit: c.timeout})
-	return o, r.read(kind, name, &o)
+	r := c.do(ctx, c.dialect.Get(kind, name), c.timeout)
+	return readReply(r, kind, name, func(b []byte) (Object, error) { return c.dialect.Object(kind, b) })
 }
 
 // List implements Store.
 func (c *Client) List(ctx context.Context, kind Kind) ([]Object, Version, error) {
-	var l Listing
-	r := c.do(ctx, call{method: fasthttp.MethodGet, path: objectPath(kind), limit: c.timeout})
-	err := r.read(kind, "", &l)
-	return l.Objects, l.Version, err
+	return c.pages(ctx, kind, Page{})
+}
+
+// ListStale is List for callers that accept an answer that is some seconds old,
+// which costs the platform less.
+func (c *Client) ListStale(ctx context.Context, kind Kind) ([]Object, Version, error) {
+	return c.pages(ctx, kind, Page{Stale: true})
+}
+
+// pages reads all pages of a list. The version is that of the first page: a
+// watch from there also reports what changed while the others were read.
+func (c *Client) pages(ctx context.Context, kind Kind, page Page) ([]Object, Version, error) {
+	var objects []Object
+	var version Version
+	for {
+		r := c.do(ctx, c.dialect.List(kind, page), c.timeout)
+		l, err := readReply(r, kind, "", func(b []byte) (Listing, error) { return c.dialect.Listing(kind, b) })
+		if err != nil {
+			return nil, 0, err
+		}
+		if page.After == "" {
+			version = l.Version
+		}
+		objects = append(objects, l.Objects...)
+		if !l.More || len(l.Objects) == 0 {
+			return objects, version, nil
+		}
+		page.After = l.Objects[len(l.Objects)-1].Name
+	}
 }
 
 // Put implements Store.
 func (c *Client) Put(ctx context.Context, kind Kind, name string, value []byte, match Version) (Version, error) {
-	var a Answer
-	r := c.do(ctx, call{method: fasthttp.MethodPut, path: objectPath(kind), query: writeQuery(name, match), body: value, limit: c.timeout})
-	return a.Version, r.write(kind, name, &a)
+	return c.write(c.do(ctx, c.dialect.Put(kind, name, value, match), c.timeout), kind, name)
 }
 
 // Delete implements Store.
 func (c *Client) Delete(ctx context.Context, kind Kind, name string, match Version) error {
-	var a Answer
-	r := c.do(ctx, call{method: fasthttp.MethodDelete, path: objectPath(kind), query: writeQuery(name, match), limit: c.timeout})
-	return r.write(kind, name, &a)
+	_, err := c.write(c.do(ctx, c.dialect.Delete(kind, name, match), c.timeout), kind, name)
+	return err
 }
 
 // Watch implements Store.
 func (c *Client) Watch(ctx context.Context, kind Kind, after Version) ([]Event, Version, error) {
-	var w Changes
-	query := url.Values{"after": {strconv.FormatUint(uint64(after), 10)}}
-	r := c.do(ctx, call{method: fasthttp.MethodGet, path: "/watch/" + string(kind), query: query, limit: c.watch})
-	err := r.read(kind, "", &w)
+	r := c.do(ctx, c.dialect.Watch(kind, after, c.wait), c.watch)
+	w, err := readReply(r, kind, "", func(b []byte) (Changes, error) { return c.dialect.Changes(kind, b) })
 	return w.Events, w.Version, err
 }
 
 // Hosts implements Store.
 func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
-	var hosts []Host
-	r := c.do(ctx, call{method: fasthttp.MethodGet, path: "/hosts", limit: c.timeout})
-	return hosts, r.read("", "", &hosts)
-}
-
-func objectPath(kind Kind) string { return "/objects/" + string(kind) }
-
-func writeQuery(name string, match Version) url.Values {
-	return url.Values{"name": {name}, "match": {strconv.FormatUint(uint64(match), 10)}}
+	return readReply(c.do(ctx, c.dialect.Hosts(), c.timeout), "", "", c.dialect.HostList)
 }
 
 // do runs one exchange. If ctx ends first, the exchange is abandoned and ends
 // at its own time limit.
-func (c *Client) do(ctx context.Context, p call) reply {
+func (c *Client) do(ctx context.Context, p Call, limit time.Duration) reply {
 	if err := ctx.Err(); err != nil {
 		return reply{err: fmt.Errorf("%w: %w", errDial, err)}
 	}
-	deadline := time.Now().Add(p.limit)
+	deadline := time.Now().Add(limit)
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
 	}
@@ -167,44 +181,49 @@
 	}
 }
 
-func (c *Client) exchange(p call, deadline time.Time) reply {
+func (c *Client) exchange(p Call, deadline time.Time) reply {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	req.Header.SetMethod(p.method)
-	req.SetRequestURI(c.base + p.path + "?" + p.query.Encode())
-	req.SetBodyRaw(p.body)
+	req.Header.SetMethod(p.Method)
+	req.SetRequestURI(c.base + p.Path + "?" + p.Query.Encode())
+	if len(p.Body) > 0 {
+		req.Header.SetContentType("application/json")
+		req.SetBodyRaw(p.Body)
+	}
 	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
 		return reply{err: err}
 	}
 	return reply{status: resp.StatusCode(), body: append([]byte(nil), resp.Body()...)}
 }
 
-// read decodes the answer to a read. Without an answer the platform is unavailable.
-func (r reply) read(kind Kind, name string, into any) error {
-	return r.decode(kind, name, into, ErrUnavailable)
+// readReply decodes the answer to a read. Without an answer the platform is unavailable.
+func readReply[T any](r reply, kind Kind, name string, decode func([]byte) (T, error)) (T, error) {
+	return settle(r, kind, name, decode, ErrUnavailable)
 }
 
 // write decodes the answer to a write. Only a connection that could not be
 // opened, or a refusal by the platform, is certainly without an effect.
-func (r reply) write(kind Kind, name string, into *Answer) error {
+func (c *Client) write(r reply, kind Kind, name string) (Version, error) {
 	if errors.Is(r.err, errDial) || errors.Is(r.err, fasthttp.ErrNoFreeConns) {
-		return ErrUnavailable(r.err.Error())
+		return 0, ErrUnavailable(r.err.Error())
 	}
-	return r.decode(kind, name, into, ErrUnknown)
+	return settle(r, kind, name, c.dialect.Written, ErrUnknown)
 }
 
-func (r reply) decode(kind Kind, name string, into any, lost func(string) error) error {
+func settle[T any](r reply, kind Kind, name string, decode func([]byte) (T, error), lost func(string) error) (T, error) {
+	var zero T
 	if r.err != nil {
-		return lost(r.err.Error())
+		return zero, lost(r.err.Error())
 	}
 	if err := statusError(r.status, kind, name, lost); err != nil {
-		return err
+		return zero, err
 	}
-	if err := json.Unmarshal(r.body, into); err != nil {
-		return lost("the answer is broken: " + err.Error())
+	v, err := decode(r.body)
+	if err != nil {
+		return zero, lost("the answer is broken: " + err.Error())
 	}
-	return nil
+	return v, nil
 }
 
 // statusError maps the status of an answer to an error. A status that is not
@@ -212,7 +231,7 @@
 // has executed the write.
 func statusError(status int, kind Kind, name string, lost func(string) error) error {
 	switch status {
-	case fasthttp.StatusOK:
+	case fasthttp.StatusOK, fasthttp.StatusCreated:
 		return nil
 	case fasthttp.StatusNotFound:
 		return ErrMissing(kind, name)
@@ -220,8 +239,8 @@
 		return ErrConflict(kind, name)
 	case fasthttp.StatusGone:
 		return ErrCompacted()
-	case fasthttp.StatusServiceUnavailable:
-		return ErrUnavailable("status 503")
+	case fasthttp.StatusServiceUnavailable, fasthttp.StatusTooManyRequests:
+		return ErrUnavailable("status " + strconv.Itoa(status))
 	case fasthttp.StatusBadRequest, fasthttp.StatusRequestEntityTooLarge:
 		return fault.New(fault.KindInvalid, fmt.Sprintf("the platform refused the call with status %d", status), "check the kind, the name, the version and the size of the value")
 	default:
--- a/store/link.go
+++ b/store/link.go
@@ -21,7 +21,7 @@
 func (l *Link) List(ctx context.Context, kind Kind) ([]Object, Version, error) {
 	v, err := read(ctx, l.Faults, func() (Listing, error) {
 		objects, version, err := l.mem.List(ctx, kind)
-		return Listing{objects, version}, err
+		return Listing{Objects: objects, Version: version}, err
 	})
 	return v.Objects, v.Version, err
 }
--- a/store/proto.go
+++ b/store/proto.go
@@ -4,6 +4,7 @@
 type Listing struct {
 	Objects []Object `json:"objects"`
 	Version Version  `json:"version"`
+	More    bool     `json:"more,omitempty"` // further objects follow after the last one
 }
 
 // Changes is the answer to a watch call in the platform's protocol.
