lists, mesh: prove the configuration's age by the mesh

A parent's answer now carries its proof's age; the child counts it from the time at which it sent its message, so no clocks are compared.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,16 +24,24 @@
 )
 
 const (
-	// configWait is how long the store may hold the watch of the configuration.
-	// Its answers prove that keys are current.
-	configWait = 1500 * time.Millisecond
-	// targetWait is how long it may hold the watch of the targets.
-	targetWait = 20 * time.Second
+	// configWait is how long the store may hold the watch of the configuration
+	// of a host for which no other vouches. The answer proves that keys were
+	// current when the call was sent, so the proof is up to twice as old.
+	configWait = 700 * time.Millisecond
+	// vouchedWait is how long it may hold that watch while other daemons vouch
+	// for the configuration.
+	vouchedWait = 8 * time.Second
+	// targetWait is how long it may hold the watch of the targets: less than the
+	// 20 s of its history.
+	targetWait = 12 * time.Second
 	// answerWait is the time for a call's answer beyond what the store may hold it.
 	answerWait = time.Second
 	// keyMargin is kept between the age at which keys are refused and the time
 	// at which withdrawn ones must not work: a read of the request, and clocks.
 	keyMargin = 700 * time.Millisecond
+	// troubleTime is for how long the store may fail to answer this host before
+	// it tells the balancer to send callers elsewhere: a few lost answers.
+	troubleTime = 1500 * time.Millisecond
 	// leaveAge is the age of the configuration at which this host tells the
 	// balancer to send callers elsewhere; the balancer needs two seconds, after
 	// which keys are refused.
@@ -101,7 +109,7 @@
 	s, kinds := e.settings, e.adapter.Kinds()
 	e.field = place.NewField(place.Site{Region: s.Region, Domain: s.Domain})
 	e.targets = lists.NewTargets(e.client(targetWait), kinds.Targets, e.adapter, func(set lists.Set) { e.field.Update(time.Now(), set) }, lists.WithLog(e.log))
-	e.config = lists.NewConfig(e.client(configWait), kinds.Config, kinds.Current, e.adapter, e.holder, e.targets.Seen, lists.WithLog(e.log))
+	e.config = lists.NewConfig(lists.Sources{Short: e.client(configWait), Long: e.client(vouchedWait)}, kinds.Config, kinds.Current, e.adapter, e.holder, e.targets.Seen, lists.WithLog(e.log))
 	e.hosts = lists.NewHosts(e.client(0), s.self(), lists.WithLog(e.log))
 	e.node = mesh.NewNode(s.self(), time.Now, e.hear)
 	e.limits = limit.NewSet(limit.Allowance{Ratio: s.Ratio, Reserve: s.Reserve}, reports{e.node})
@@ -128,7 +136,7 @@
 func (e *Entry) provide() error {
 	pool := wire.NewPool()
 	peers := wire.NewServer()
-	mesh.Serve(peers, e.node)
+	mesh.Serve(peers, e.node, e.config)
 	e.callers = &serve.Standard{Name: "callers", Address: e.settings.Callers, Log: e.log, Server: &http.Server{
 		Handler: e.proxy, ReadHeaderTimeout: headerTime, IdleTimeout: callerIdle, MaxHeaderBytes: maxHeader, ErrorLog: serve.Discard(),
 	}}
@@ -140,7 +148,7 @@
 			return kern.Provide(e.kernel, "peers", &serve.Peers{Address: e.settings.Peers, Server: peers, Log: e.log})
 		},
 		func() error {
-			return kern.Provide(e.kernel, "mesh", mesh.NewRunner(e.node, pool, e.hosts.All, mesh.WithLog(e.log)))
+			return kern.Provide(e.kernel, "mesh", mesh.NewRunner(e.node, e.config, pool, e.hosts.All, mesh.WithLog(e.log)))
 		},
 		func() error { return kern.Provide(e.kernel, "parts", service(e.follow)) },
 		func() error { return kern.Provide(e.kernel, "callers", e.callers) },
--- a/lists/config.go
+++ b/lists/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"rhubarbdrift.example/conf"
@@ -13,6 +14,17 @@
 // in force within 2 s.
 const configPause = 200 * time.Millisecond
 
+const (
+	// vouched is the time for which a word of another daemon lets this one leave
+	// its own watch with the store for long: some messages.
+	vouched = time.Second
+	// urgent is the age at which a long watch is ended, to ask the store itself
+	// before keys have to be refused.
+	urgent = 2400 * time.Millisecond
+	// ageEvery is how often the age is looked at.
+	ageEvery = 300 * time.Millisecond
+)
+
 // ConfigDecoder reads the platform's form of a configuration.
 type ConfigDecoder interface {
 	Config(value []byte) (model.ConfigVersion, *model.Intent, error)
@@ -25,12 +37,26 @@
 	decoder ConfigDecoder
 	holder  *conf.Holder
 	onSeen  func(store.Version)
+	word    atomic.Int64 // boot time of the last word of another daemon
+	long    atomic.Bool  // the running watch may be held for long
 }
 
+// Sources are clients of the store whose watches are held for a short and for
+// a long time.
+type Sources struct{ Short, Long Watcher }
+
 // NewConfig follows the object with the name and kind. It calls seen with each
 // version of the store that it learns of.
-func NewConfig(source Watcher, kind store.Kind, name string, d ConfigDecoder, h *conf.Holder, seen func(store.Version), list ...Option) *Config {
-	c := &Config{follow: newFollow(source, kind, configPause, collect(list)), name: name, decoder: d, holder: h, onSeen: seen}
+func NewConfig(s Sources, kind store.Kind, name string, d ConfigDecoder, h *conf.Holder, seen func(store.Version), list ...Option) *Config {
+	c := &Config{follow: newFollow(s.Short, kind, configPause, collect(list)), name: name, decoder: d, holder: h, onSeen: seen}
+	c.source = func() Watcher {
+		long := c.fails == 0 && c.word.Load() != 0 && c.boot()-time.Duration(c.word.Load()) < vouched && c.age() < urgent
+		c.long.Store(long)
+		if long {
+			return s.Long
+		}
+		return s.Short
+	}
 	c.all = func(objects []store.Object) {
 		for i := range objects {
 			c.apply(&objects[i])
@@ -48,7 +74,59 @@
 }
 
 // Run follows the configuration until ctx ends.
-func (c *Config) Run(ctx context.Context) error { return c.run(ctx) }
+func (c *Config) Run(ctx context.Context) error {
+	go c.hurry(ctx)
+	return c.run(ctx)
+}
+
+// hurry ends a long watch when no other daemon vouches for the configuration
+// any more.
+func (c *Config) hurry(ctx context.Context) {
+	for ctx.Err() == nil {
+		rest(ctx, ageEvery)
+		if c.long.Load() && c.age() > urgent {
+			c.again()
+		}
+	}
+}
+
+// Now reads the clock that proofs are counted on.
+func (c *Config) Now() time.Duration { return c.boot() }
+
+// Proof returns the version in force, and how long ago it was certainly the
+// newest one; ok is false if that is not known.
+func (c *Config) Proof() (version uint64, age time.Duration, ok bool) {
+	s := c.holder.Current()
+	if s == nil || c.last.Load() == 0 {
+		return 0, 0, false
+	}
+	return uint64(s.Version()), c.age(), true
+}
+
+// Prove takes another daemon's word that a version was the newest one at a
+// time of this daemon's clock.
+func (c *Config) Prove(version uint64, at time.Duration) {
+	s := c.holder.Current()
+	if s == nil || uint64(s.Version()) > version {
+		return
+	}
+	if uint64(s.Version()) < version {
+		// The store tells this daemon as well; a connection that went silent
+		// must not keep the change away.
+		c.behind()
+		return
+	}
+	c.word.Store(int64(c.boot()))
+	for {
+		old := c.last.Load()
+		if int64(at) <= old || c.last.CompareAndSwap(old, int64(at)) {
+			return
+		}
+	}
+}
+
+// Trouble returns for how long the store has not answered this daemon.
+func (c *Config) Trouble() time.Duration { return c.trouble() }
 
 // Age returns how long ago this daemon certainly knew the newest configuration.
 func (c *Config) Age() time.Duration { return c.age() }
--- a/lists/follow.go
+++ b/lists/follow.go
@@ -50,7 +50,7 @@
 // follow keeps up with one kind of objects.
 type follow struct {
 	options
-	source Watcher
+	source func() Watcher
 	kind   store.Kind
 	pause  time.Duration // after changes, so that several are read by one call
 	all    func([]store.Object)
@@ -62,10 +62,12 @@
 	seen  atomic.Uint64 // version up to which the kind is known
 	last  atomic.Int64  // boot time at which the last answered call was sent; 0: never
 	renew chan struct{} // ends the running watch
+	since atomic.Int64  // boot time of the first of the calls that failed; 0: the last one was answered
+	late  atomic.Int64  // boot time since which another daemon is ahead; 0: none is
 }
 
 func newFollow(source Watcher, kind store.Kind, pause time.Duration, o options) *follow {
-	return &follow{options: o, source: source, kind: kind, pause: pause, renew: make(chan struct{}, 1), proved: func(time.Duration) {}}
+	return &follow{options: o, source: func() Watcher { return source }, kind: kind, pause: pause, renew: make(chan struct{}, 1), proved: func(time.Duration) {}}
 }
 
 func (f *follow) run(ctx context.Context) error {
@@ -86,7 +88,7 @@
 func (f *follow) step(ctx context.Context) (changed bool, err error) {
 	sent := f.boot()
 	if f.at == 0 {
-		objects, at, err := f.source.List(ctx, f.kind)
+		objects, at, err := f.source().List(ctx, f.kind)
 		if err != nil {
 			return false, err
 		}
@@ -105,7 +107,7 @@
 		case <-done:
 		}
 	}()
-	events, at, err := f.source.Watch(watch, f.kind, f.at)
+	events, at, err := f.source().Watch(watch, f.kind, f.at)
 	if fault.Is(err, store.Compacted) {
 		f.log.Info().Str("kind", string(f.kind)).Uint64("after", uint64(f.at)).Msg("history is gone; the list is read again")
 		f.at = 0
@@ -131,17 +133,53 @@
 		f.log.Info().Str("kind", string(f.kind)).Int("failures", f.fails).Dur("silence", f.boot()-time.Duration(f.last.Load())).Msg("store answers again")
 		f.fails = 0
 	}
+	f.since.Store(0)
+	f.late.Store(0)
+	for old := f.last.Load(); int64(sent) > old && !f.last.CompareAndSwap(old, int64(sent)); old = f.last.Load() {
+	}
 	f.proved(sent)
-	f.last.Store(int64(sent))
 }
 
 func (f *follow) failed(err error) {
 	f.fails++
+	f.since.CompareAndSwap(0, int64(f.boot()))
 	if f.fails == 1 {
 		f.log.Warn().Err(err).Str("kind", string(f.kind)).Msg("store does not answer")
 	}
 }
 
+// trouble returns the time since the first of the calls that failed.
+func (f *follow) trouble() time.Duration {
+	since := f.since.Load()
+	if since == 0 {
+		return 0
+	}
+	return f.boot() - time.Duration(since)
+}
+
+// again ends the running watch, so that the store is asked anew.
+func (f *follow) again() {
+	select {
+	case f.renew <- struct{}{}:
+	default:
+	}
+}
+
+// ahead is how long another daemon may know something newer before the watch
+// is begun anew.
+const ahead = 600 * time.Millisecond
+
+// behind notes that another daemon knows something newer.
+func (f *follow) behind() {
+	if f.late.CompareAndSwap(0, int64(f.boot())) {
+		return
+	}
+	if f.boot()-time.Duration(f.late.Load()) > ahead {
+		f.late.Store(0)
+		f.again()
+	}
+}
+
 // age returns the time since the last answered call was sent.
 func (f *follow) age() time.Duration {
 	last := f.last.Load()
--- a/lists/targets.go
+++ b/lists/targets.go
@@ -13,7 +13,7 @@
 const (
 	// targetPause joins changes of several targets. A leaving target must get
 	// no request after 2 s.
-	targetPause = 500 * time.Millisecond
+	targetPause = time.Second
 	// lapse is the silence of the store after which entries may have lapsed
 	// only because they could not be renewed: less than three heartbeats.
 	lapse = 1500 * time.Millisecond
@@ -21,7 +21,7 @@
 	// is back: about 2 s by the platform's word.
 	renewal = 2300 * time.Millisecond
 	// behind is how long the watch may be behind what the other lists saw.
-	behind = 700 * time.Millisecond
+	behind = 1500 * time.Millisecond
 )
 
 // TargetDecoder reads the platform's form of a target's entry.
@@ -84,10 +84,7 @@
 		return
 	}
 	t.staled = time.Time{}
-	select {
-	case t.renew <- struct{}{}:
-	default:
-	}
+	t.again()
 }
 
 // replace takes a complete list.
--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -14,8 +14,8 @@
 // # Usage
 //
 //	node := mesh.NewNode(self, time.Now, func(s *mesh.Sum) { ... })
-//	mesh.Serve(server, node)
-//	runner := mesh.NewRunner(node, pool, hosts, mesh.WithLog(log))
+//	mesh.Serve(server, node, config)
+//	runner := mesh.NewRunner(node, config, pool, hosts, mesh.WithLog(log))
 //	go runner.Run(ctx)
 //	...
 //	node.Note(func(s *mesh.Sum) { s.Target(id, mesh.Tally{Good: 1}) })
--- a/mesh/run.go
+++ b/mesh/run.go
@@ -40,22 +40,39 @@
 type Message struct {
 	From model.HostID `cbor:"1,keyasint"`
 	Sum  Sum          `cbor:"2,keyasint"`
+	// Version is the configuration that the parent has, and Age how long ago in
+	// milliseconds it was certainly the newest one. A version of 0 says nothing.
+	Version uint64       `cbor:"3,keyasint,omitempty"`
+	Age     model.Millis `cbor:"4,keyasint,omitempty"`
+}
+
+// Witness knows the configuration, and learns from others that it is the
+// newest one.
+type Witness interface {
+	Now() time.Duration
+	Proof() (version uint64, age time.Duration, ok bool)
+	Prove(version uint64, at time.Duration)
 }
 
 // Serve registers the exchange with children.
-func Serve(s *wire.Server, n *Node) {
+func Serve(s *wire.Server, n *Node, w Witness) {
 	wire.Handle(s, method, func(_ context.Context, m *Message) (*Message, error) {
 		n.Receive(m.From, &m.Sum)
-		return &Message{From: n.self.ID, Sum: n.Take(m.From)}, nil
+		answer := &Message{From: n.self.ID, Sum: n.Take(m.From)}
+		if version, age, ok := w.Proof(); ok {
+			answer.Version, answer.Age = version, model.Millis(age/time.Millisecond)+1
+		}
+		return answer, nil
 	})
 }
 
 // Runner keeps the node's place in the tree.
 type Runner struct {
-	node  *Node
-	pool  *wire.Pool
-	hosts func() []Host
-	log   zerolog.Logger
+	node    *Node
+	witness Witness
+	pool    *wire.Pool
+	hosts   func() []Host
+	log     zerolog.Logger
 
 	mu     sync.Mutex
 	down   map[model.HostID]outage
@@ -74,8 +91,8 @@
 func WithLog(l zerolog.Logger) Option { return func(r *Runner) { r.log = l } }
 
 // NewRunner returns a runner. The function hosts returns the known daemons.
-func NewRunner(n *Node, p *wire.Pool, hosts func() []Host, options ...Option) *Runner {
-	r := &Runner{node: n, pool: p, hosts: hosts, log: zerolog.Nop(), down: make(map[model.HostID]outage)}
+func NewRunner(n *Node, w Witness, p *wire.Pool, hosts func() []Host, options ...Option) *Runner {
+	r := &Runner{node: n, witness: w, pool: p, hosts: hosts, log: zerolog.Nop(), down: make(map[model.HostID]outage)}
 	for _, o := range options {
 		o(r)
 	}
@@ -124,6 +141,7 @@
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	out := r.node.Take(h.ID)
+	sent := r.witness.Now()
 	answer, err := wire.Call[Message, Message](ctx, r.pool.Client(h.Address), method, &Message{From: r.node.self.ID, Sum: out})
 	if err != nil {
 		// What the message held is lost: the host may have taken it.
@@ -132,6 +150,10 @@
 		return false
 	}
 	r.node.Receive(h.ID, &answer.Sum)
+	if answer.Version != 0 {
+		// The parent's proof is at least this old when the answer is made.
+		r.witness.Prove(answer.Version, sent-answer.Age.Duration())
+	}
 	r.mu.Lock()
 	delete(r.down, h.ID)
 	r.mu.Unlock()
--- a/place/choose.go
+++ b/place/choose.go
@@ -32,6 +32,13 @@
 	usual = 0.4
 	// coldFactor is how much slower a target is after its start.
 	coldFactor = 2.0
+	// unused is the time without a request from any daemon after which a target
+	// gets one that may be repeated. Most gray failures last longer, but a target
+	// that recovered must be in use again within two seconds.
+	unused = 1000 * time.Millisecond
+	// oneIn is the part of the requests that look for such a target: few enough
+	// that the daemons do not all choose it before they hear of each other.
+	oneIn = 3
 	// compared is the number of random candidates of the own region, and
 	// comparedAway that of the others.
 	compared     = 4
@@ -70,6 +77,9 @@
 			far = append(far, t)
 		}
 	}
+	if t := forgotten(now, near, n, random); t != nil {
+		return t, true
+	}
 	var best *Target
 	least := math.Inf(1)
 	for _, t := range append(draw(near, max(compared, len(near)/3), random), draw(far, comparedAway, random)...) {
@@ -80,6 +90,25 @@
 	return best, best != nil
 }
 
+// forgotten returns a target that nobody has used for a while, for some of the
+// requests that may be repeated, or nil. So a target that recovered is found
+// soon, and one that was left out for no good reason stays in use.
+func forgotten(now time.Time, targets []*Target, n Need, random func(int) int) *Target {
+	if !n.Repeat || len(n.Tried) > 0 || random(oneIn) != 0 {
+		return nil
+	}
+	var list []*Target
+	for _, t := range targets {
+		if now.Sub(t.tried) > unused && now.Sub(t.since) > unused {
+			list = append(list, t)
+		}
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	return list[random(len(list))]
+}
+
 // draw moves count random elements to the front and returns them.
 func draw(list []*Target, count int, random func(int) int) []*Target {
 	count = min(count, len(list))
--- a/place/field.go
+++ b/place/field.go
@@ -37,7 +37,8 @@
 	health grade.Grade // from the answers that any daemon got
 	path   grade.Grade // from this daemon's own failures to reach it
 
-	flying int // requests of this daemon
+	flying int       // requests of this daemon
+	tried  time.Time // when any daemon last sent it a request, as far as known
 	// load is what the target last reported to any daemon, running and waiting.
 	load   float64
 	loadAt time.Time
@@ -105,6 +106,7 @@
 	if t == nil {
 		return
 	}
+	t.tried = now
 	p := f.pools[t.Pool]
 	n := s.Count
 	if s.Kind == grade.Lost {
@@ -130,10 +132,11 @@
 }
 
 // Begin counts a request that is sent to the target.
-func (t *Target) Begin() {
+func (t *Target) Begin(now time.Time) {
 	t.field.mu.Lock()
 	defer t.field.mu.Unlock()
 	t.flying++
+	t.tried = now
 }
 
 // End counts the end of a request.
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -141,7 +141,7 @@
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	f.prepare(req)
-	s.target.Begin()
+	s.target.Begin(time.Now())
 	watch := time.AfterFunc(f.slowAfter(), func() {
 		s.slow.Store(true)
 		f.see(s, grade.Slow, -1)
