lists: doubt about vanished targets only after the store was away for all

Doubt now begins when no daemon had word from the store for 3 s, and a watch is begun anew when any list, also a parent's, knows a newer version. Ruled out: this daemon's own failed calls as the sign; two failures before a long watch set it off as well.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -108,8 +108,9 @@
 func (e *Entry) build() {
 	s, kinds := e.settings, e.adapter.Kinds()
 	e.field = place.NewField(place.Site{Region: s.Region, Domain: s.Domain})
-	e.targets = lists.NewTargets(e.client(targetWait), kinds.Targets, e.adapter, func(set lists.Set) { e.field.Update(time.Now(), set) }, lists.WithLog(e.log))
-	e.config = lists.NewConfig(lists.Sources{Short: e.client(configWait), Long: e.client(vouchedWait)}, kinds.Config, kinds.Current, e.adapter, e.holder, e.targets.Seen, lists.WithLog(e.log))
+	e.targets = lists.NewTargets(e.client(targetWait), kinds.Targets, e.adapter, func(set lists.Set) { e.field.Update(time.Now(), set) },
+		func() time.Duration { return e.config.Age() }, lists.WithLog(e.log))
+	e.config = lists.NewConfig(lists.Sources{Short: e.client(configWait), Long: e.client(vouchedWait)}, kinds.Config, kinds.Current, e.adapter, e.holder, e.targets, lists.WithLog(e.log))
 	e.hosts = lists.NewHosts(e.client(0), s.self(), lists.WithLog(e.log))
 	e.node = mesh.NewNode(s.self(), time.Now, e.hear)
 	e.limits = limit.NewSet(limit.Allowance{Ratio: s.Ratio, Reserve: s.Reserve}, reports{e.node})
--- a/lists/config.go
+++ b/lists/config.go
@@ -37,6 +37,7 @@
 	decoder ConfigDecoder
 	holder  *conf.Holder
 	onSeen  func(store.Version)
+	back    func()       // the store answers after nobody had word from it
 	word    atomic.Int64 // boot time of the last word of another daemon
 	long    atomic.Bool  // the running watch may be held for long
 }
@@ -45,10 +46,15 @@
 // a long time.
 type Sources struct{ Short, Long Watcher }
 
-// NewConfig follows the object with the name and kind. It calls seen with each
-// version of the store that it learns of.
-func NewConfig(s Sources, kind store.Kind, name string, d ConfigDecoder, h *conf.Holder, seen func(store.Version), list ...Option) *Config {
-	c := &Config{follow: newFollow(s.Short, kind, configPause, collect(list)), name: name, decoder: d, holder: h, onSeen: seen}
+// Events takes what the watch of the configuration shows of the store.
+type Events interface {
+	Seen(v store.Version) // the store has reached this version
+	Returned()            // the store answers after nobody had word from it
+}
+
+// NewConfig follows the object with the name and kind.
+func NewConfig(s Sources, kind store.Kind, name string, d ConfigDecoder, h *conf.Holder, e Events, list ...Option) *Config {
+	c := &Config{follow: newFollow(s.Short, kind, configPause, collect(list)), name: name, decoder: d, holder: h, onSeen: e.Seen, back: e.Returned}
 	c.source = func() Watcher {
 		long := c.fails == 0 && c.word.Load() != 0 && c.boot()-time.Duration(c.word.Load()) < vouched && c.age() < urgent
 		c.long.Store(long)
@@ -69,7 +75,8 @@
 			}
 		}
 	}
-	c.proved = func(time.Duration) { c.onSeen(c.at) }
+	c.before = c.gap
+	c.proved = func(time.Duration) { c.onSeen(store.Version(c.seen.Load())) }
 	return c
 }
 
@@ -94,18 +101,20 @@
 func (c *Config) Now() time.Duration { return c.boot() }
 
 // Proof returns the version in force, and how long ago it was certainly the
-// newest one; ok is false if that is not known.
-func (c *Config) Proof() (version uint64, age time.Duration, ok bool) {
+// newest one, and up to where the store is known. A version of 0 says that
+// nothing is known.
+func (c *Config) Proof() (version uint64, age time.Duration, revision store.Version) {
 	s := c.holder.Current()
 	if s == nil || c.last.Load() == 0 {
-		return 0, 0, false
+		return 0, 0, 0
 	}
-	return uint64(s.Version()), c.age(), true
+	return uint64(s.Version()), c.age(), store.Version(c.seen.Load())
 }
 
 // Prove takes another daemon's word that a version was the newest one at a
-// time of this daemon's clock.
-func (c *Config) Prove(version uint64, at time.Duration) {
+// time of this daemon's clock, and up to where it knows the store.
+func (c *Config) Prove(version uint64, at time.Duration, revision store.Version) {
+	c.onSeen(revision)
 	s := c.holder.Current()
 	if s == nil || uint64(s.Version()) > version {
 		return
@@ -117,11 +126,14 @@
 		return
 	}
 	c.word.Store(int64(c.boot()))
-	for {
-		old := c.last.Load()
-		if int64(at) <= old || c.last.CompareAndSwap(old, int64(at)) {
-			return
-		}
+	c.gap(c.age())
+	c.prove(at)
+}
+
+// gap reports the return of the store if the last word from it is old.
+func (c *Config) gap(age time.Duration) {
+	if age > lapse && age < never {
+		c.back()
 	}
 }
 
--- a/lists/follow.go
+++ b/lists/follow.go
@@ -55,6 +55,7 @@
 	pause  time.Duration // after changes, so that several are read by one call
 	all    func([]store.Object)
 	some   func([]store.Event)
+	before func(age time.Duration)  // an answer came; age is that of the one before
 	proved func(sent time.Duration) // an answer came to a call sent at this time
 
 	at    store.Version
@@ -67,7 +68,8 @@
 }
 
 func newFollow(source Watcher, kind store.Kind, pause time.Duration, o options) *follow {
-	return &follow{options: o, source: func() Watcher { return source }, kind: kind, pause: pause, renew: make(chan struct{}, 1), proved: func(time.Duration) {}}
+	return &follow{options: o, source: func() Watcher { return source }, kind: kind, pause: pause, renew: make(chan struct{}, 1),
+		before: func(time.Duration) {}, proved: func(time.Duration) {}}
 }
 
 func (f *follow) run(ctx context.Context) error {
@@ -135,11 +137,21 @@
 	}
 	f.since.Store(0)
 	f.late.Store(0)
-	for old := f.last.Load(); int64(sent) > old && !f.last.CompareAndSwap(old, int64(sent)); old = f.last.Load() {
-	}
+	f.before(f.age())
+	f.prove(sent)
 	f.proved(sent)
 }
 
+// prove notes that the kind was known completely at a time.
+func (f *follow) prove(at time.Duration) {
+	for {
+		old := f.last.Load()
+		if int64(at) <= old || f.last.CompareAndSwap(old, int64(at)) {
+			return
+		}
+	}
+}
+
 func (f *follow) failed(err error) {
 	f.fails++
 	f.since.CompareAndSwap(0, int64(f.boot()))
@@ -184,11 +196,14 @@
 func (f *follow) age() time.Duration {
 	last := f.last.Load()
 	if last == 0 {
-		return time.Duration(1<<63 - 1)
+		return never
 	}
 	return f.boot() - time.Duration(last)
 }
 
+// never is the age of what was never known.
+const never = time.Duration(1<<63 - 1)
+
 func jitter(d time.Duration) time.Duration {
 	return d*3/4 + time.Duration(rand.Int64N(int64(d)/2+1))
 }
--- a/lists/targets.go
+++ b/lists/targets.go
@@ -14,14 +14,18 @@
 	// targetPause joins changes of several targets. A leaving target must get
 	// no request after 2 s.
 	targetPause = time.Second
-	// lapse is the silence of the store after which entries may have lapsed
-	// only because they could not be renewed: less than three heartbeats.
-	lapse = 1500 * time.Millisecond
+	// lapse is the time without word from the store after which entries may have
+	// lapsed only because they could not be renewed. They lapse after three
+	// heartbeats, 4.5 s; the usual word is at most 2.4 s old.
+	lapse = 3 * time.Second
 	// renewal is the time in which targets renew lapsed entries once the store
-	// is back: about 2 s by the platform's word.
-	renewal = 2300 * time.Millisecond
+	// is back: about 2 s by the platform's word, less a retry, after which this
+	// daemon noticed. What is still missing 3 s after the return must be unused.
+	renewal = 2000 * time.Millisecond
+	// sweepEvery is how often lapsed entries are looked at.
+	sweepEvery = 50 * time.Millisecond
 	// behind is how long the watch may be behind what the other lists saw.
-	behind = 1500 * time.Millisecond
+	behind = time.Second
 )
 
 // TargetDecoder reads the platform's form of a target's entry.
@@ -38,10 +42,12 @@
 	decoder TargetDecoder
 	current atomic.Pointer[Set]
 	notify  func(Set)
+	proof   func() time.Duration // age of the newest word from the store
 
 	mu      sync.Mutex
 	entries map[string]*entry
 	doubt   time.Duration // boot time until which vanished entries are kept
+	reached store.Version // newest version of the store that any list learned of
 	staled  time.Time     // since when the watch is behind; zero: it is not
 }
 
@@ -50,9 +56,10 @@
 	gone   time.Duration // boot time at which it is dropped unless it is back; 0: it is there
 }
 
-// NewTargets follows the entries of a kind. It calls notify with each new set.
-func NewTargets(source Watcher, kind store.Kind, d TargetDecoder, notify func(Set), list ...Option) *Targets {
-	t := &Targets{follow: newFollow(source, kind, targetPause, collect(list)), decoder: d, notify: notify, entries: make(map[string]*entry)}
+// NewTargets follows the entries of a kind. It calls notify with each new set, and
+// proof for the age of the newest word that any daemon had from the store.
+func NewTargets(source Watcher, kind store.Kind, d TargetDecoder, notify func(Set), proof func() time.Duration, list ...Option) *Targets {
+	t := &Targets{follow: newFollow(source, kind, targetPause, collect(list)), decoder: d, notify: notify, proof: proof, entries: make(map[string]*entry)}
 	t.all, t.some = t.replace, t.change
 	t.current.Store(&Set{})
 	return t
@@ -72,7 +79,8 @@
 func (t *Targets) Seen(v store.Version) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if uint64(v) <= t.seen.Load() {
+	t.reached = max(t.reached, v)
+	if uint64(t.reached) <= t.seen.Load() {
 		t.staled = time.Time{}
 		return
 	}
@@ -118,14 +126,23 @@
 	t.publish()
 }
 
-// doubtful begins the time of doubt if the store was out of reach until now.
+// doubtful begins the time of doubt if no daemon that this one hears of had
+// word from the store until now. A failure of this daemon's own call says
+// nothing about the targets.
 func (t *Targets) doubtful() {
-	last := time.Duration(t.last.Load())
-	if last != 0 && t.fails > 0 && t.boot()-last > lapse {
+	if age := t.proof(); age > lapse && age < never {
 		t.doubt = t.boot() + renewal
 	}
 }
 
+// Returned notes that the store answers again after nobody had word from it.
+func (t *Targets) Returned() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.doubt = t.boot() + renewal
+	t.log.Info().Dur("renewal", renewal).Msg("store is back; targets may renew their entries")
+}
+
 // put takes an entry and reports whether it names a target.
 func (t *Targets) put(o *store.Object) bool {
 	target, err := t.decoder.Target(o.Name, o.Value)
@@ -162,7 +179,7 @@
 // sweep drops the entries that were not renewed in time.
 func (t *Targets) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
-		rest(ctx, renewal/8)
+		rest(ctx, sweepEvery)
 		t.mu.Lock()
 		dropped := false
 		for name, e := range t.entries {
--- a/mesh/run.go
+++ b/mesh/run.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/store"
 	"rhubarbdrift.example/wire"
 )
 
@@ -44,14 +45,17 @@
 	// milliseconds it was certainly the newest one. A version of 0 says nothing.
 	Version uint64       `cbor:"3,keyasint,omitempty"`
 	Age     model.Millis `cbor:"4,keyasint,omitempty"`
+	// Revision is up to where the parent knows the store.
+	Revision store.Version `cbor:"5,keyasint,omitempty"`
 }
 
 // Witness knows the configuration, and learns from others that it is the
 // newest one.
 type Witness interface {
 	Now() time.Duration
-	Proof() (version uint64, age time.Duration, ok bool)
-	Prove(version uint64, at time.Duration)
+	// Proof returns version 0 if nothing is known.
+	Proof() (version uint64, age time.Duration, revision store.Version)
+	Prove(version uint64, at time.Duration, revision store.Version)
 }
 
 // Serve registers the exchange with children.
@@ -59,8 +63,8 @@
 	wire.Handle(s, method, func(_ context.Context, m *Message) (*Message, error) {
 		n.Receive(m.From, &m.Sum)
 		answer := &Message{From: n.self.ID, Sum: n.Take(m.From)}
-		if version, age, ok := w.Proof(); ok {
-			answer.Version, answer.Age = version, model.Millis(age/time.Millisecond)+1
+		if version, age, revision := w.Proof(); version != 0 {
+			answer.Version, answer.Age, answer.Revision = version, model.Millis(age/time.Millisecond)+1, revision
 		}
 		return answer, nil
 	})
@@ -152,7 +156,7 @@
 	r.node.Receive(h.ID, &answer.Sum)
 	if answer.Version != 0 {
 		// The parent's proof is at least this old when the answer is made.
-		r.witness.Prove(answer.Version, sent-answer.Age.Duration())
+		r.witness.Prove(answer.Version, sent-answer.Age.Duration(), answer.Revision)
 	}
 	r.mu.Lock()
 	delete(r.down, h.ID)
