--- a/grade/grade.go
+++ b/grade/grade.go
@@ -57,6 +57,16 @@
 	sights
 )
 
+var sightNames = [sights]string{"good", "slow", "lost", "bad"}
+
+// String returns the name that logs use.
+func (s Sight) String() string {
+	if s < sights {
+		return sightNames[s]
+	}
+	return "invalid"
+}
+
 // sick holds how often a sick target shows each sight.
 var sick = [sights]float64{Good: 1 - failing, Slow: 0.6, Lost: 0.3, Bad: failing}
 
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -25,10 +25,10 @@
 const (
 	// usable is the part of the burst that the bucket holds. The rest covers
 	// what is admitted while reports are under way.
-	usable = 0.6
+	usable = 0.4
 	// low is the part of the bucket below which requests are admitted in
 	// proportion to the rate.
-	low = 0.5
+	low = 0.9
 	// first is the part of the bucket that a new daemon starts with; what the
 	// others have used is not known to it yet.
 	first = 0.2
--- /dev/null
+++ b/limit/limit_test.go
@@ -0,0 +1,215 @@
+package limit
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+)
+
+// The limits of the users' deployments: 10% and 20 requests beyond the rate and
+// burst in any 5 s.
+const (
+	window    = 5 * time.Second
+	overshoot = 0.1
+	slack     = 20
+)
+
+// phase is a time with an offered rate.
+type phase struct {
+	rate float64 // requests per second over the fleet
+	last time.Duration
+}
+
+// result counts what a played load came to.
+type result struct {
+	worst   int     // most admissions in any window
+	refused float64 // share of the requests
+}
+
+// play offers phases of random arrivals to daemons whose reports reach the
+// others after a delay. The function part says which part of the fleet a
+// daemon hears of, and hears whether one hears another.
+func play(seed uint64, daemons int, size Size, phases []phase, delay time.Duration, group func(daemon int, now time.Duration) int) result {
+	random := rand.New(rand.NewPCG(seed, 1))
+	start := time.Unix(0, 0)
+	buckets := make([]*Bucket, daemons)
+	for i := range buckets {
+		buckets[i] = New(start, size)
+	}
+	type report struct {
+		at       time.Duration
+		from     int
+		admitted float64
+	}
+	var reports []report
+	var admitted []time.Duration
+	asked, refused := 0, 0
+	const tick = time.Millisecond
+	now := time.Duration(0)
+	for _, p := range phases {
+		for end := now + p.last; now < end; now += tick {
+			for len(reports) > 0 && reports[0].at <= now {
+				r := reports[0]
+				reports = reports[1:]
+				for i, b := range buckets {
+					if i != r.from && group(i, now) == group(r.from, now) {
+						b.Others(start.Add(now), r.admitted, 1)
+					}
+				}
+			}
+			sizes := make(map[int]int)
+			for i := range buckets {
+				sizes[group(i, now)]++
+			}
+			for random.Float64() < p.rate*tick.Seconds() {
+				i := random.IntN(daemons)
+				buckets[i].Part(start.Add(now), float64(sizes[group(i, now)])/float64(daemons))
+				asked++
+				r := report{at: now + delay, from: i}
+				if _, ok := buckets[i].Admit(start.Add(now), random.Float64()); ok {
+					r.admitted = 1
+					admitted = append(admitted, now)
+				} else {
+					refused++
+				}
+				reports = append(reports, r)
+			}
+		}
+	}
+	worst, first := 0, 0
+	for i, at := range admitted {
+		for admitted[first] <= at-window {
+			first++
+		}
+		worst = max(worst, i-first+1)
+	}
+	return result{worst: worst, refused: float64(refused) / float64(max(asked, 1))}
+}
+
+func together(int, time.Duration) int { return 0 }
+
+// TestFleet plays a customer's load at all daemons of a fleet at once, with
+// reports that are late. It guards against a fleet that admits more than the
+// limit, and against refusals within it.
+func TestFleet(t *testing.T) {
+	size := Size{Rate: 64, Burst: 64}
+	bound := int((size.Rate*window.Seconds()+size.Burst)*(1+overshoot) + slack)
+	usual := phase{rate: size.Rate / 1.6, last: 10 * time.Second}
+	for name, c := range map[string]struct {
+		phases  []phase
+		refused float64
+		group   func(int, time.Duration) int
+	}{
+		"usual":      {phases: []phase{usual, usual}, refused: 0.005},
+		"burst":      {phases: []phase{usual, {rate: 1.5 * size.Rate / 1.6, last: 3 * time.Second}, usual}, refused: 0.005},
+		"hot":        {phases: []phase{usual, {rate: 7.5 * size.Rate / 1.6, last: 7 * time.Second}, usual}, refused: 1},
+		"hot again":  {phases: []phase{usual, {rate: 5 * size.Rate, last: time.Second}, {rate: 0, last: 2 * time.Second}, {rate: 5 * size.Rate, last: 2 * time.Second}}, refused: 1},
+		"hot, split": {phases: []phase{usual, {rate: 7.5 * size.Rate / 1.6, last: 7 * time.Second}}, refused: 1, group: func(i int, now time.Duration) int {
+			if now > 8*time.Second {
+				return i % 3
+			}
+			return 0
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if c.group == nil {
+				c.group = together
+			}
+			for seed := range uint64(5) {
+				r := play(seed, 36, size, c.phases, 300*time.Millisecond, c.group)
+				test.LessEq(t, bound, r.worst, test.Sprintf("seed %d", seed))
+				test.LessEq(t, c.refused, r.refused, test.Sprintf("seed %d", seed))
+			}
+		})
+	}
+}
+
+// TestAlone guards against the naive policy's fault: daemons that each hold
+// the whole limit admit a multiple of it.
+func TestAlone(t *testing.T) {
+	size := Size{Rate: 64, Burst: 64}
+	bound := int((size.Rate*window.Seconds()+size.Burst)*(1+overshoot) + slack)
+	hot := []phase{{rate: 7.5 * size.Rate, last: 10 * time.Second}}
+	apart := func(i int, _ time.Duration) int { return i }
+	test.LessEq(t, bound, play(1, 36, size, hot, 0, apart).worst)
+	// Without the part, the same daemons break the bound: the check can fail.
+	naive := 0
+	for range 36 {
+		b := New(time.Unix(0, 0), size)
+		for i := range 5000 {
+			if _, ok := b.Admit(time.Unix(0, 0).Add(time.Duration(i)*time.Millisecond), 0); ok {
+				naive++
+			}
+		}
+	}
+	test.Greater(t, bound, naive)
+}
+
+// TestLowered guards against a customer that keeps a saved burst after its
+// limit was lowered.
+func TestLowered(t *testing.T) {
+	now := time.Unix(0, 0)
+	b := New(now, Size{Rate: 100, Burst: 100})
+	now = now.Add(time.Minute)
+	b.Resize(now, Size{Rate: 1, Burst: 2})
+	n := 0
+	for range 100 {
+		if _, ok := b.Admit(now, 0); ok {
+			n++
+		}
+	}
+	test.LessEq(t, 2, n)
+}
+
+// TestBudget plays a pool that fails every request at all daemons. It guards
+// against repeated sends beyond the allowance, and against a budget that never
+// recovers.
+func TestBudget(t *testing.T) {
+	a := Allowance{Ratio: 0.2, Reserve: 58}
+	const daemons, perSecond, seconds = 36, 150, 20
+	budgets := make([]*Budget, daemons)
+	for i := range budgets {
+		budgets[i] = NewBudget(a)
+	}
+	random := rand.New(rand.NewPCG(3, 1))
+	type event struct {
+		at, from int
+		retry    bool
+	}
+	var late []event
+	var retries []int
+	for ms := range seconds * 1000 {
+		for len(late) > 0 && late[0].at <= ms {
+			for i, b := range budgets {
+				if i == late[0].from {
+					continue
+				}
+				b.Requests(1)
+				if late[0].retry {
+					b.Others(1)
+				}
+			}
+			late = late[1:]
+		}
+		for random.Float64() < perSecond/1000.0 {
+			i := random.IntN(daemons)
+			budgets[i].Requests(1)
+			ok := budgets[i].Retry(0)
+			if ok {
+				retries = append(retries, ms)
+			}
+			late = append(late, event{at: ms + 300, from: i, retry: ok})
+		}
+	}
+	worst, first := 0, 0
+	for i, at := range retries {
+		for retries[first] <= at-10_000 {
+			first++
+		}
+		worst = max(worst, i-first+1)
+	}
+	test.LessEq(t, int(a.Ratio*perSecond*10+a.Reserve), worst)
+	test.Greater(t, int(0.1*perSecond*seconds), len(retries))
+}
--- /dev/null
+++ b/mesh/mesh_test.go
@@ -0,0 +1,131 @@
+package mesh
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"rhubarbdrift.example/model"
+)
+
+// fleet plays the messages of a fleet in virtual time.
+type fleet struct {
+	now   time.Time
+	hosts []Host
+	nodes map[model.HostID]*Node
+	heard map[model.HostID]uint32 // bad sights heard of
+	down  map[model.HostID]bool
+	cut   func(a, b Host) bool
+}
+
+func newFleet(perRegion int) *fleet {
+	f := &fleet{now: time.Unix(0, 0), nodes: make(map[model.HostID]*Node), heard: make(map[model.HostID]uint32), down: make(map[model.HostID]bool)}
+	f.cut = func(Host, Host) bool { return false }
+	for _, region := range []model.Region{"north", "south"} {
+		for i := range perRegion {
+			h := Host{ID: model.HostID(fmt.Sprintf("%s-%d", region, i)), Region: region}
+			f.hosts = append(f.hosts, h)
+			f.nodes[h.ID] = NewNode(h, func() time.Time { return f.now }, func(s *Sum) { f.heard[h.ID] += s.Targets["t"].Bad })
+		}
+	}
+	return f
+}
+
+// round lets every host exchange messages with its parent once, in a random order.
+func (f *fleet) round(random *rand.Rand) {
+	f.now = f.now.Add(interval)
+	for _, i := range random.Perm(len(f.hosts)) {
+		h := f.hosts[i]
+		if f.down[h.ID] {
+			continue
+		}
+		n := f.nodes[h.ID]
+		for _, p := range Parents(h, f.hosts) {
+			if f.down[p.ID] || f.cut(h, p) {
+				n.Drop(p.ID)
+				continue
+			}
+			up := n.Take(p.ID)
+			f.nodes[p.ID].Receive(h.ID, &up)
+			down := f.nodes[p.ID].Take(h.ID)
+			n.Receive(p.ID, &down)
+			break
+		}
+	}
+}
+
+// TestOnce guards against reports that reach a host twice, as they would over
+// a circle of links, or not at all.
+func TestOnce(t *testing.T) {
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		f := newFleet(10)
+		for range 12 {
+			f.round(random)
+		}
+		for i, h := range f.hosts {
+			f.nodes[h.ID].Note(func(s *Sum) { s.Target("t", Tally{Bad: uint32(i + 1)}) })
+		}
+		for range 12 {
+			f.round(random)
+		}
+		for i, h := range f.hosts {
+			must.Eq(t, uint32(210-i-1), f.heard[h.ID])
+			must.Eq(t, 20, f.nodes[h.ID].Hosts())
+		}
+	}
+}
+
+// TestParentLost guards against a fleet that no longer hears of each other
+// after the first host of a region ended.
+func TestParentLost(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	f := newFleet(10)
+	for range 12 {
+		f.round(random)
+	}
+	first := f.hosts[0]
+	for _, h := range f.hosts {
+		if len(Parents(h, f.hosts)) == 0 {
+			first = h
+		}
+	}
+	f.down[first.ID] = true
+	for range 20 {
+		f.round(random)
+	}
+	clear(f.heard)
+	reporter := f.hosts[19]
+	if reporter == first {
+		reporter = f.hosts[18]
+	}
+	f.nodes[reporter.ID].Note(func(s *Sum) { s.Target("t", Tally{Bad: 1}) })
+	for range 12 {
+		f.round(random)
+	}
+	for _, h := range f.hosts {
+		if h == reporter || h == first {
+			continue
+		}
+		test.Eq(t, 1, f.heard[h.ID])
+		test.Eq(t, 19, f.nodes[h.ID].Hosts())
+	}
+}
+
+// TestRegionsApart guards against hosts that believe that they hear the whole
+// fleet while the regions cannot reach each other.
+func TestRegionsApart(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	f := newFleet(10)
+	f.cut = func(a, b Host) bool { return a.Region != b.Region }
+	for range 20 {
+		f.round(random)
+	}
+	for _, h := range f.hosts {
+		test.Eq(t, 10, f.nodes[h.ID].Hosts())
+	}
+}
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -144,7 +144,7 @@
 	s.target.Begin(time.Now())
 	watch := time.AfterFunc(f.slowAfter(), func() {
 		s.slow.Store(true)
-		f.see(s, grade.Slow, -1)
+		f.see(s.target, grade.Slow, -1, &exch.Outcome{Wait: f.slowAfter()})
 	})
 	started := time.Now()
 	s.out = f.proxy.parts.Exchange.Do(f.ctx, &s.target.Target, req, s.resp)
@@ -161,7 +161,7 @@
 	sight, ok := sightOf(&s.out, s.slow.Load(), told && load < slots)
 	switch {
 	case ok:
-		f.see(s, sight, load)
+		f.see(s.target, sight, load, &s.out)
 	case load >= 0:
 		s.target.Told(time.Now(), load)
 	}
@@ -171,18 +171,19 @@
 	f.results <- s
 }
 
-// see records what an exchange showed, here and at the other daemons.
-func (f *flight) see(s *send, sight grade.Sight, load float64) {
+// see records what an exchange showed, here and at the other daemons. While
+// the exchange still runs, its outcome has no class.
+func (f *flight) see(t *place.Target, sight grade.Sight, load float64, out *exch.Outcome) {
 	now := time.Now()
-	s.target.See(now, sight)
+	t.See(now, sight)
 	if load >= 0 {
-		s.target.Told(now, load)
+		t.Told(now, load)
 	}
-	f.proxy.parts.See(s.target.ID, sight, load)
+	f.proxy.parts.See(t.ID, sight, load)
 	if sight != grade.Good {
-		f.proxy.log.Info().Str("request", f.id).Str("target", string(s.target.ID)).Stringer("class", s.out.Class).
-			Int("status", s.out.Status).Uint8("sight", uint8(sight)).Float64("sick", s.target.Sick(now)).
-			Dur("wait", s.out.Wait).AnErr("cause", s.out.Err).Msg("exchange")
+		f.proxy.log.Info().Str("request", f.id).Str("target", string(t.ID)).Stringer("class", out.Class).
+			Int("status", out.Status).Stringer("sight", sight).Float64("sick", t.Sick(now)).
+			Dur("wait", out.Wait).AnErr("cause", out.Err).Msg("exchange")
 	}
 }
 
