--- a/entry/entry.go
+++ b/entry/entry.go
@@ -28,9 +28,6 @@
 	// of a host for which no other vouches. The answer proves that keys were
 	// current when the call was sent, so the proof is up to twice as old.
 	configWait = 700 * time.Millisecond
-	// vouchedWait is how long it may hold that watch while other daemons vouch
-	// for the configuration.
-	vouchedWait = 8 * time.Second
 	// targetWait is how long it may hold the watch of the targets: less than the
 	// 20 s of its history.
 	targetWait = 12 * time.Second
@@ -39,9 +36,6 @@
 	// keyMargin is kept between the age at which keys are refused and the time
 	// at which withdrawn ones must not work: a read of the request, and clocks.
 	keyMargin = 700 * time.Millisecond
-	// troubleTime is for how long the store may fail to answer this host before
-	// it tells the balancer to send callers elsewhere: a few lost answers.
-	troubleTime = 1500 * time.Millisecond
 	// leaveAge is the age of the configuration at which this host tells the
 	// balancer to send callers elsewhere; the balancer needs two seconds, after
 	// which keys are refused.
@@ -110,10 +104,11 @@
 	e.field = place.NewField(place.Site{Region: s.Region, Domain: s.Domain})
 	e.targets = lists.NewTargets(e.client(targetWait), kinds.Targets, e.adapter, func(set lists.Set) { e.field.Update(time.Now(), set) },
 		func() time.Duration { return e.config.Age() }, lists.WithLog(e.log))
-	e.config = lists.NewConfig(lists.Sources{Short: e.client(configWait), Long: e.client(vouchedWait)}, kinds.Config, kinds.Current, e.adapter, e.holder, e.targets, lists.WithLog(e.log))
+	e.config = lists.NewConfig(e.client(configWait), kinds.Config, kinds.Current, e.adapter, e.holder, e.targets, lists.WithLog(e.log))
 	e.hosts = lists.NewHosts(e.client(0), s.self(), lists.WithLog(e.log))
 	e.node = mesh.NewNode(s.self(), time.Now, e.hear)
-	e.limits = limit.NewSet(limit.Allowance{Ratio: s.Ratio, Reserve: s.Reserve}, reports{e.node})
+	e.limits = limit.NewSet(limit.Allowance{Ratio: s.Ratio, Reserve: s.Reserve},
+		limit.Tolerance{Window: s.Window, Share: s.Over, Slack: s.Slack}, reports{e.node})
 	e.proxy = proxy.New(proxy.Parts{
 		Words:    e.adapter.Callers(),
 		Snapshot: e.holder.Current,
@@ -137,7 +132,8 @@
 func (e *Entry) provide() error {
 	pool := wire.NewPool()
 	peers := wire.NewServer()
-	mesh.Serve(peers, e.node, e.config)
+	relayed := &mesh.Lists{Clock: lists.Boot, All: []mesh.List{e.config, e.targets}}
+	mesh.Serve(peers, e.node, relayed)
 	e.callers = &serve.Standard{Name: "callers", Address: e.settings.Callers, Log: e.log, Server: &http.Server{
 		Handler: e.proxy, ReadHeaderTimeout: headerTime, IdleTimeout: callerIdle, MaxHeaderBytes: maxHeader, ErrorLog: serve.Discard(),
 	}}
@@ -149,7 +145,7 @@
 			return kern.Provide(e.kernel, "peers", &serve.Peers{Address: e.settings.Peers, Server: peers, Log: e.log})
 		},
 		func() error {
-			return kern.Provide(e.kernel, "mesh", mesh.NewRunner(e.node, e.config, pool, e.hosts.All, mesh.WithLog(e.log)))
+			return kern.Provide(e.kernel, "mesh", mesh.NewRunner(e.node, relayed, pool, e.hosts.All, mesh.WithLog(e.log)))
 		},
 		func() error { return kern.Provide(e.kernel, "parts", service(e.follow)) },
 		func() error { return kern.Provide(e.kernel, "callers", e.callers) },
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -30,6 +30,10 @@
 	Grace   time.Duration // time from a planned stop's signal until the process is killed
 	Ratio   float64       // repeated sends for each request of a pool
 	Reserve float64       // repeated sends of a pool in addition
+
+	Window time.Duration // in which limits of customers are counted
+	Over   float64       // share by which they may be exceeded
+	Slack  float64       // requests by which they may be exceeded in addition
 }
 
 // Check reports the first mistake in the settings.
@@ -51,6 +55,9 @@
 	if s.Ratio < 0 || s.Reserve < 0 {
 		return fault.Invalid("bounds", "the retry budget is negative", "set it to 0 or more")
 	}
+	if s.Window <= 0 || s.Over < 0 || s.Slack < 0 {
+		return fault.Invalid("bounds", "the window or the tolerance of limits is missing or negative", "set the window above 0, the tolerance to 0 or more")
+	}
 	return nil
 }
 
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -10,7 +10,7 @@
 //
 // # Usage
 //
-//	b := limit.New(now, limit.Size{Rate: 64, Burst: 64})
+//	b := limit.New(now, limit.Size{Rate: 64, Burst: 64}, tolerance)
 //	if wait, ok := b.Admit(now, rand.Float64()); !ok {
 //		// tell the caller to come back after wait
 //	}
@@ -23,12 +23,20 @@
 )
 
 const (
-	// usable is the part of the burst that the bucket holds. The rest covers
-	// what is admitted while reports are under way.
-	usable = 0.4
+	// surge is the demand, as a multiple of the rate, that a customer may turn to
+	// from one moment to the next.
+	surge = 5.0
+	// notice is the time in seconds until all daemons have learned of it: two
+	// messages each way, and the wait for them.
+	notice = 0.35
+	// least is the part of the burst that the bucket holds at least.
+	least = 0.3
 	// low is the part of the bucket below which requests are admitted in
 	// proportion to the rate.
 	low = 0.9
+	// doubtful is the number of standard deviations by which the demand must
+	// exceed the rate before it counts as higher: arrivals are random.
+	doubtful = 2.0
 	// first is the part of the bucket that a new daemon starts with; what the
 	// others have used is not known to it yet.
 	first = 0.2
@@ -44,9 +52,26 @@
 	Burst float64 // requests
 }
 
+// Tolerance is what a limit may be exceeded by: in any window, a share of what
+// it allows there and a number of requests.
+type Tolerance struct {
+	Window time.Duration
+	Share  float64
+	Slack  float64
+}
+
+// holds returns the part of the burst that a bucket holds, in requests. The
+// rest covers what a sudden surge gets before the daemons have learned of it,
+// as far as the tolerance does not.
+func (t Tolerance) holds(s Size) float64 {
+	excess := (surge-1)*s.Rate*notice - t.Share*(s.Rate*t.Window.Seconds()+s.Burst) - t.Slack
+	return max(least*s.Burst, s.Burst-max(0, excess))
+}
+
 // Bucket is one limit as this daemon sees it. It is not safe for concurrent use.
 type Bucket struct {
 	size   Size
+	spare  Tolerance
 	part   float64 // of the fleet that this daemon hears of, itself included
 	tokens float64
 	demand float64 // requests per second of that part, admitted or not
@@ -54,8 +79,8 @@
 }
 
 // New returns a bucket for the whole fleet.
-func New(now time.Time, size Size) *Bucket {
-	b := &Bucket{size: size, part: 1, at: now}
+func New(now time.Time, size Size, spare Tolerance) *Bucket {
+	b := &Bucket{size: size, spare: spare, part: 1, at: now}
 	b.tokens = first * b.capacity()
 	return b
 }
@@ -74,7 +99,7 @@
 	b.tokens = min(b.tokens, b.capacity())
 }
 
-func (b *Bucket) capacity() float64 { return max(1, usable*b.size.Burst*b.part) }
+func (b *Bucket) capacity() float64 { return max(1, b.spare.holds(b.size)*b.part) }
 
 func (b *Bucket) rate() float64 { return b.size.Rate * b.part }
 
@@ -103,7 +128,8 @@
 	if b.tokens < 1 {
 		return b.wait(), false
 	}
-	if b.tokens < low*b.capacity() && b.demand > b.rate() && chance > b.rate()/b.demand {
+	high := b.rate() + doubtful*math.Sqrt(b.rate()*demandLife.Seconds())
+	if b.tokens < low*b.capacity() && b.demand > high && chance > b.rate()/b.demand {
 		return b.wait(), false
 	}
 	b.tokens--
@@ -113,9 +139,9 @@
 // Cancel gives back the token of a request that was not sent.
 func (b *Bucket) Cancel() { b.tokens = min(b.tokens+1, b.capacity()) }
 
-// wait returns the time until the bucket is no longer low.
+// wait returns the time until the bucket is half full.
 func (b *Bucket) wait() time.Duration {
-	missing := max(1, low*b.capacity()) - b.tokens
+	missing := max(1, b.capacity()/2) - b.tokens
 	if b.rate() <= 0 {
 		return maxWait
 	}
--- a/limit/set.go
+++ b/limit/set.go
@@ -11,6 +11,7 @@
 // Set holds the limits of all customers and pools. It is safe for concurrent use.
 type Set struct {
 	allowance Allowance
+	tolerance Tolerance
 	report    Report
 
 	mu        sync.Mutex
@@ -25,9 +26,10 @@
 	Pool(id model.PoolID, requests, retries uint32)
 }
 
-// NewSet returns a set that allows each pool the repeated sends of a.
-func NewSet(a Allowance, r Report) *Set {
-	return &Set{allowance: a, report: r, part: 1, customers: make(map[model.CustomerID]*Bucket), pools: make(map[model.PoolID]*Budget)}
+// NewSet returns a set that allows each pool the repeated sends of a, and that
+// exceeds the customers' limits by t at most.
+func NewSet(a Allowance, t Tolerance, r Report) *Set {
+	return &Set{allowance: a, tolerance: t, report: r, part: 1, customers: make(map[model.CustomerID]*Bucket), pools: make(map[model.PoolID]*Budget)}
 }
 
 // Part sets the part of the fleet that this daemon hears of.
@@ -73,7 +75,7 @@
 	size := Size{Rate: float64(c.Rate), Burst: float64(c.Burst)}
 	b := s.customers[c.ID]
 	if b == nil {
-		b = New(now, size)
+		b = New(now, size, s.tolerance)
 		b.Part(now, s.part)
 		s.customers[c.ID] = b
 	}
--- a/lists/follow.go
+++ b/lists/follow.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"rhubarbdrift.example/fault"
+	"rhubarbdrift.example/mesh"
+	"rhubarbdrift.example/model"
 	"rhubarbdrift.example/store"
 )
 
@@ -47,33 +51,69 @@
 	return o
 }
 
-// follow keeps up with one kind of objects.
+const (
+	// vouched is the time for which a parent's word keeps this daemon from
+	// asking the store itself: some messages.
+	vouched = time.Second
+	// urgent is the age of a list from which on it is not handed on, and a
+	// daemon asks the store itself before keys have to be refused.
+	urgent = 2400 * time.Millisecond
+	// wordEvery is how often a daemon that relies on its parent looks whether it
+	// still may.
+	wordEvery = 250 * time.Millisecond
+	// firstWord is how long a new daemon waits for a parent to hand on the lists.
+	firstWord = 600 * time.Millisecond
+	// maxRemoved is the number of removed entries that are kept for children.
+	maxRemoved = 1000
+)
+
+// follow keeps up with one kind of objects, by the word of a parent or by
+// watching the store.
 type follow struct {
 	options
-	source func() Watcher
+	source Watcher
 	kind   store.Kind
 	pause  time.Duration // after changes, so that several are read by one call
 	all    func([]store.Object)
 	some   func([]store.Event)
-	before func(age time.Duration)  // an answer came; age is that of the one before
-	proved func(sent time.Duration) // an answer came to a call sent at this time
+	before func()                     // an answer came; its changes are applied next
+	proved func()                     // the changes of an answer are applied
+	proof  func() (age time.Duration) // of the newest word from the store
 
-	at    store.Version
-	fails int
-	seen  atomic.Uint64 // version up to which the kind is known
-	last  atomic.Int64  // boot time at which the last answered call was sent; 0: never
-	renew chan struct{} // ends the running watch
-	since atomic.Int64  // boot time of the first of the calls that failed; 0: the last one was answered
-	late  atomic.Int64  // boot time since which another daemon is ahead; 0: none is
+	mu      sync.Mutex
+	at      store.Version
+	records map[string]record
+	floor   store.Version // version from which on all removals are among the records
+	removed int           // records of removed entries
+
+	started time.Duration
+	fails   int
+	last    atomic.Int64  // boot time at which the list was certainly complete; 0: never
+	word    atomic.Int64  // boot time of the last word of a parent; 0: none
+	renew   chan struct{} // ends the running watch
+}
+
+// record is what is known of one entry, for children.
+type record struct {
+	event   store.Event
+	learned store.Version // of the answer that told of it
 }
 
 func newFollow(source Watcher, kind store.Kind, pause time.Duration, o options) *follow {
-	return &follow{options: o, source: func() Watcher { return source }, kind: kind, pause: pause, renew: make(chan struct{}, 1),
-		before: func(time.Duration) {}, proved: func(time.Duration) {}}
+	f := &follow{options: o, source: source, kind: kind, pause: pause, renew: make(chan struct{}, 1),
+		before: func() {}, proved: func() {}, records: make(map[string]record)}
+	f.proof = f.age
+	return f
 }
 
 func (f *follow) run(ctx context.Context) error {
+	f.started = f.boot()
 	for ctx.Err() == nil {
+		if f.relayed() {
+			f.fails = 0
+			rest(ctx, wordEvery)
+			continue
+		}
 		changed, err := f.step(ctx)
 		switch {
 		case err != nil && ctx.Err() == nil:
@@ -86,60 +126,170 @@
 	return nil
 }
 
+// relayed reports whether a parent keeps this list complete, or may be about to.
+func (f *follow) relayed() bool {
+	if word := f.word.Load(); word != 0 {
+		return f.boot()-time.Duration(word) < vouched && f.proof() < urgent
+	}
+	return f.boot()-f.started < firstWord
+}
+
 // step makes one call and applies its answer.
 func (f *follow) step(ctx context.Context) (changed bool, err error) {
-	sent := f.boot()
-	if f.at == 0 {
-		objects, at, err := f.source().List(ctx, f.kind)
+	sent, from := f.boot(), f.Known()
+	if from == 0 {
+		objects, at, err := f.source.List(ctx, f.kind)
 		if err != nil {
 			return false, err
 		}
-		f.all(objects)
-		f.answered(at, sent)
-		return true, nil
-	}
-	watch, cancel := context.WithCancel(ctx)
-	defer cancel()
-	done := make(chan struct{})
-	defer close(done)
-	go func() {
-		select {
-		case <-f.renew:
-			cancel()
-		case <-done:
-		}
-	}()
-	events, at, err := f.source().Watch(watch, f.kind, f.at)
+		return true, f.answered(at, sent, func() { f.reset(objects, at) })
+	}
+	events, at, err := f.watch(ctx, from)
 	if fault.Is(err, store.Compacted) {
-		f.log.Info().Str("kind", string(f.kind)).Uint64("after", uint64(f.at)).Msg("history is gone; the list is read again")
+		f.log.Info().Str("kind", string(f.kind)).Uint64("after", uint64(from)).Msg("history is gone; the list is read again")
+		f.mu.Lock()
 		f.at = 0
+		f.mu.Unlock()
 		return false, nil
 	}
 	if err != nil {
-		if watch.Err() != nil && ctx.Err() == nil {
-			return false, nil // renewed
-		}
 		return false, err
 	}
-	if len(events) > 0 {
-		f.some(events)
+	return len(events) > 0, f.answered(at, sent, func() { f.change(events, at) })
+}
+
+// errRenewed ends a watch that is begun anew.
+var errRenewed = errors.New("the watch is begun anew")
+
+// watch makes one long call, which ends early when it is to be begun anew.
+func (f *follow) watch(ctx context.Context, from store.Version) ([]store.Event, store.Version, error) {
+	watch, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go func() {
+		select {
+		case <-f.renew:
+			cancel(errRenewed)
+		case <-watch.Done():
+		}
+	}()
+	events, at, err := f.source.Watch(watch, f.kind, from)
+	if err != nil && errors.Is(context.Cause(watch), errRenewed) {
+		return nil, from, nil
 	}
-	f.answered(at, sent)
-	return len(events) > 0, nil
+	return events, at, err
 }
 
-func (f *follow) answered(at store.Version, sent time.Duration) {
-	f.at = max(f.at, at)
-	f.seen.Store(uint64(f.at))
+// answered applies an answer of the store, unless a parent told more meanwhile.
+func (f *follow) answered(at store.Version, sent time.Duration, apply func()) error {
 	if f.fails > 0 {
-		f.log.Info().Str("kind", string(f.kind)).Int("failures", f.fails).Dur("silence", f.boot()-time.Duration(f.last.Load())).Msg("store answers again")
+		f.log.Info().Str("kind", string(f.kind)).Int("failures", f.fails).Dur("silence", f.age()).Msg("store answers again")
 		f.fails = 0
 	}
-	f.since.Store(0)
-	f.late.Store(0)
-	f.before(f.age())
-	f.prove(sent)
-	f.proved(sent)
+	f.before()
+	f.mu.Lock()
+	if at >= f.at {
+		apply()
+		f.prove(sent)
+	}
+	f.mu.Unlock()
+	f.proved()
+	return nil
+}
+
+// reset takes a whole list. The caller holds the lock.
+func (f *follow) reset(objects []store.Object, at store.Version) {
+	f.records = make(map[string]record, len(objects))
+	for i := range objects {
+		f.records[objects[i].Name] = record{event: store.Event{Object: objects[i]}, learned: at}
+	}
+	f.at, f.floor, f.removed = at, at, 0
+	f.all(objects)
+}
+
+// change takes changes. The caller holds the lock.
+func (f *follow) change(events []store.Event, at store.Version) {
+	f.at = at
+	if len(events) == 0 {
+		return
+	}
+	for _, e := range events {
+		if f.records[e.Object.Name].event.Deleted {
+			f.removed--
+		}
+		if e.Deleted {
+			f.removed++
+			e.Object.Value = nil
+		}
+		f.records[e.Object.Name] = record{event: e, learned: at}
+	}
+	if f.removed > maxRemoved {
+		f.forget()
+	}
+	f.some(events)
+}
+
+// forget drops the records of removed entries. Children that know less than
+// all of them get the whole list.
+func (f *follow) forget() {
+	for name, r := range f.records {
+		if r.event.Deleted {
+			delete(f.records, name)
+		}
+	}
+	f.floor, f.removed = f.at, 0
+}
+
+// Known implements mesh.List.
+func (f *follow) Known() store.Version {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.at
+}
+
+// Since implements mesh.List.
+func (f *follow) Since(known store.Version) mesh.Relay {
+	age := f.proof()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.at == 0 || known > f.at || age >= urgent {
+		return mesh.Relay{}
+	}
+	r := mesh.Relay{At: f.at, Whole: known < f.floor, Age: model.Millis(age/time.Millisecond) + 1}
+	for _, e := range f.records {
+		if r.Whole && !e.event.Deleted || !r.Whole && e.learned > known {
+			r.Events = append(r.Events, e.event)
+		}
+	}
+	return r
+}
+
+// Take implements mesh.List.
+func (f *follow) Take(r *mesh.Relay, known store.Version, sent time.Duration) {
+	if r.At == 0 {
+		return
+	}
+	if f.age() > lapse {
+		f.before()
+	}
+	f.mu.Lock()
+	if f.at != known || r.At < f.at {
+		f.mu.Unlock()
+		return // the store told more meanwhile
+	}
+	if r.Whole {
+		objects := make([]store.Object, len(r.Events))
+		for i := range r.Events {
+			objects[i] = r.Events[i].Object
+		}
+		f.reset(objects, r.At)
+	} else {
+		f.change(r.Events, r.At)
+	}
+	// The parent's proof is at least this old when it answers.
+	f.prove(sent - r.Age.Duration())
+	f.mu.Unlock()
+	f.word.Store(int64(f.boot()))
+	f.proved()
 }
 
 // prove notes that the kind was known completely at a time.
@@ -154,21 +304,11 @@
 
 func (f *follow) failed(err error) {
 	f.fails++
-	f.since.CompareAndSwap(0, int64(f.boot()))
 	if f.fails == 1 {
 		f.log.Warn().Err(err).Str("kind", string(f.kind)).Msg("store does not answer")
 	}
 }
 
-// trouble returns the time since the first of the calls that failed.
-func (f *follow) trouble() time.Duration {
-	since := f.since.Load()
-	if since == 0 {
-		return 0
-	}
-	return f.boot() - time.Duration(since)
-}
-
 // again ends the running watch, so that the store is asked anew.
 func (f *follow) again() {
 	select {
@@ -177,22 +317,7 @@
 	}
 }
 
-// ahead is how long another daemon may know something newer before the watch
-// is begun anew.
-const ahead = 600 * time.Millisecond
-
-// behind notes that another daemon knows something newer.
-func (f *follow) behind() {
-	if f.late.CompareAndSwap(0, int64(f.boot())) {
-		return
-	}
-	if f.boot()-time.Duration(f.late.Load()) > ahead {
-		f.late.Store(0)
-		f.again()
-	}
-}
-
-// age returns the time since the last answered call was sent.
+// age returns how long ago the list was certainly complete.
 func (f *follow) age() time.Duration {
 	last := f.last.Load()
 	if last == 0 {
--- a/lists/targets.go
+++ b/lists/targets.go
@@ -42,9 +42,8 @@
 	decoder TargetDecoder
 	current atomic.Pointer[Set]
 	notify  func(Set)
-	proof   func() time.Duration // age of the newest word from the store
 
-	mu      sync.Mutex
+	state   sync.Mutex
 	entries map[string]*entry
 	doubt   time.Duration // boot time until which vanished entries are kept
 	reached store.Version // newest version of the store that any list learned of
@@ -59,8 +58,8 @@
 // NewTargets follows the entries of a kind. It calls notify with each new set, and
 // proof for the age of the newest word that any daemon had from the store.
 func NewTargets(source Watcher, kind store.Kind, d TargetDecoder, notify func(Set), proof func() time.Duration, list ...Option) *Targets {
-	t := &Targets{follow: newFollow(source, kind, targetPause, collect(list)), decoder: d, notify: notify, proof: proof, entries: make(map[string]*entry)}
-	t.all, t.some = t.replace, t.change
+	t := &Targets{follow: newFollow(source, kind, targetPause, collect(list)), decoder: d, notify: notify, entries: make(map[string]*entry)}
+	t.all, t.some, t.follow.proof = t.replace, t.update, proof
 	t.current.Store(&Set{})
 	return t
 }
@@ -77,10 +76,11 @@
 // Seen takes a version of the store that another list learned of. If the watch
 // stays behind it, its connection may have gone silent, and it is begun anew.
 func (t *Targets) Seen(v store.Version) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+	known := t.Known()
+	t.state.Lock()
+	defer t.state.Unlock()
 	t.reached = max(t.reached, v)
-	if uint64(t.reached) <= t.seen.Load() {
+	if t.reached <= known {
 		t.staled = time.Time{}
 		return
 	}
@@ -97,8 +97,8 @@
 
 // replace takes a complete list.
 func (t *Targets) replace(objects []store.Object) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+	t.state.Lock()
+	defer t.state.Unlock()
 	t.doubtful()
 	there := make(map[string]bool, len(objects))
 	for i := range objects {
@@ -112,10 +112,10 @@
 	t.publish()
 }
 
-// change takes the events of a watch.
-func (t *Targets) change(events []store.Event) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+// update takes the events of a watch.
+func (t *Targets) update(events []store.Event) {
+	t.state.Lock()
+	defer t.state.Unlock()
 	t.doubtful()
 	for i := range events {
 		o := &events[i].Object
@@ -130,15 +130,15 @@
 // word from the store until now. A failure of this daemon's own call says
 // nothing about the targets.
 func (t *Targets) doubtful() {
-	if age := t.proof(); age > lapse && age < never {
+	if age := t.follow.proof(); age > lapse && age < never {
 		t.doubt = t.boot() + renewal
 	}
 }
 
 // Returned notes that the store answers again after nobody had word from it.
 func (t *Targets) Returned() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+	t.state.Lock()
+	defer t.state.Unlock()
 	t.doubt = t.boot() + renewal
 	t.log.Info().Dur("renewal", renewal).Msg("store is back; targets may renew their entries")
 }
@@ -180,7 +180,7 @@
 func (t *Targets) sweep(ctx context.Context) {
 	for ctx.Err() == nil {
 		rest(ctx, sweepEvery)
-		t.mu.Lock()
+		t.state.Lock()
 		dropped := false
 		for name, e := range t.entries {
 			if e.gone != 0 && t.boot() >= e.gone {
@@ -192,7 +192,7 @@
 		if dropped {
 			t.publish()
 		}
-		t.mu.Unlock()
+		t.state.Unlock()
 	}
 }
 
--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -11,11 +11,16 @@
 // everywhere, so a lost parent is replaced without a vote. A host that loses
 // its part of the tree knows how many hosts it still hears of.
 //
+// With its answers a parent also hands on what it knows of the store's lists,
+// and how old its proof of them is; the child counts that age from the time at
+// which it sent its message, so no clocks are compared. Only the first host of
+// the first region asks the store.
+//
 // # Usage
 //
 //	node := mesh.NewNode(self, time.Now, func(s *mesh.Sum) { ... })
-//	mesh.Serve(server, node, config)
-//	runner := mesh.NewRunner(node, config, pool, hosts, mesh.WithLog(log))
+//	mesh.Serve(server, node, lists)
+//	runner := mesh.NewRunner(node, lists, pool, hosts, mesh.WithLog(log))
 //	go runner.Run(ctx)
 //	...
 //	node.Note(func(s *mesh.Sum) { s.Target(id, mesh.Tally{Good: 1}) })
--- a/mesh/run.go
+++ b/mesh/run.go
@@ -41,42 +41,27 @@
 type Message struct {
 	From model.HostID `cbor:"1,keyasint"`
 	Sum  Sum          `cbor:"2,keyasint"`
-	// Version is the configuration that the parent has, and Age how long ago in
-	// milliseconds it was certainly the newest one. A version of 0 says nothing.
-	Version uint64       `cbor:"3,keyasint,omitempty"`
-	Age     model.Millis `cbor:"4,keyasint,omitempty"`
-	// Revision is up to where the parent knows the store.
-	Revision store.Version `cbor:"5,keyasint,omitempty"`
-}
-
-// Witness knows the configuration, and learns from others that it is the
-// newest one.
-type Witness interface {
-	Now() time.Duration
-	// Proof returns version 0 if nothing is known.
-	Proof() (version uint64, age time.Duration, revision store.Version)
-	Prove(version uint64, at time.Duration, revision store.Version)
+	// Known is up to where a child knows the lists of the store.
+	Known []store.Version `cbor:"3,keyasint,omitempty"`
+	// Relays is what a parent knows beyond that.
+	Relays []Relay `cbor:"4,keyasint,omitempty"`
 }
 
 // Serve registers the exchange with children.
-func Serve(s *wire.Server, n *Node, w Witness) {
+func Serve(s *wire.Server, n *Node, l *Lists) {
 	wire.Handle(s, method, func(_ context.Context, m *Message) (*Message, error) {
 		n.Receive(m.From, &m.Sum)
-		answer := &Message{From: n.self.ID, Sum: n.Take(m.From)}
-		if version, age, revision := w.Proof(); version != 0 {
-			answer.Version, answer.Age, answer.Revision = version, model.Millis(age/time.Millisecond)+1, revision
-		}
-		return answer, nil
+		return &Message{From: n.self.ID, Sum: n.Take(m.From), Relays: l.since(m.Known)}, nil
 	})
 }
 
 // Runner keeps the node's place in the tree.
 type Runner struct {
-	node    *Node
-	witness Witness
-	pool    *wire.Pool
-	hosts   func() []Host
-	log     zerolog.Logger
+	node  *Node
+	lists *Lists
+	pool  *wire.Pool
+	hosts func() []Host
+	log   zerolog.Logger
 
 	mu     sync.Mutex
 	down   map[model.HostID]outage
@@ -95,8 +80,8 @@
 func WithLog(l zerolog.Logger) Option { return func(r *Runner) { r.log = l } }
 
 // NewRunner returns a runner. The function hosts returns the known daemons.
-func NewRunner(n *Node, w Witness, p *wire.Pool, hosts func() []Host, options ...Option) *Runner {
-	r := &Runner{node: n, witness: w, pool: p, hosts: hosts, log: zerolog.Nop(), down: make(map[model.HostID]outage)}
+func NewRunner(n *Node, l *Lists, p *wire.Pool, hosts func() []Host, options ...Option) *Runner {
+	r := &Runner{node: n, lists: l, pool: p, hosts: hosts, log: zerolog.Nop(), down: make(map[model.HostID]outage)}
 	for _, o := range options {
 		o(r)
 	}
@@ -145,8 +130,8 @@
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	out := r.node.Take(h.ID)
-	sent := r.witness.Now()
-	answer, err := wire.Call[Message, Message](ctx, r.pool.Client(h.Address), method, &Message{From: r.node.self.ID, Sum: out})
+	known, sent := r.lists.known(), r.lists.Clock()
+	answer, err := wire.Call[Message, Message](ctx, r.pool.Client(h.Address), method, &Message{From: r.node.self.ID, Sum: out, Known: known})
 	if err != nil {
 		// What the message held is lost: the host may have taken it.
 		r.node.Drop(h.ID)
@@ -154,10 +139,7 @@
 		return false
 	}
 	r.node.Receive(h.ID, &answer.Sum)
-	if answer.Version != 0 {
-		// The parent's proof is at least this old when the answer is made.
-		r.witness.Prove(answer.Version, sent-answer.Age.Duration(), answer.Revision)
-	}
+	r.lists.take(answer.Relays, known, sent)
 	r.mu.Lock()
 	delete(r.down, h.ID)
 	r.mu.Unlock()
