--- a/entry/share.go
+++ b/entry/share.go
@@ -78,7 +78,8 @@
 func (e *Entry) follow(ctx context.Context) error {
 	t := time.NewTicker(partEvery)
 	defer t.Stop()
-	before := 1.0
+	before := 0.0
+	e.limits.Part(time.Now(), 0) // nothing is admitted before the fleet is known
 	for {
 		select {
 		case <-ctx.Done():
@@ -86,6 +87,9 @@
 		case <-t.C:
 		}
 		known := len(e.hosts.All())
+		if known == 0 {
+			continue
+		}
 		part := min(1, float64(e.node.Hosts())/float64(known))
 		if part != before {
 			e.log.Info().Float64("part", part).Int("known", known).Msg("part of the fleet heard changed")
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -15,7 +15,7 @@
 	// exitTime is kept at the end of a planned stop for leaving the lists.
 	exitTime = 400 * time.Millisecond
 	// partEvery is how often the part of the fleet that is heard is computed.
-	partEvery = 200 * time.Millisecond
+	partEvery = 50 * time.Millisecond
 	// metricsPath is that of the metrics; every other path on the address is
 	// the balancer's question.
 	metricsPath = "/metrics"
@@ -41,7 +41,7 @@
 
 // isReady reports whether the balancer should send callers here.
 func (e *Entry) isReady() bool {
-	now := !e.stopping.Load() && e.holder.Current() != nil && len(e.targets.Set()) > 0 && e.config.Age() < leaveAge
+	now := !e.stopping.Load() && e.holder.Current() != nil && len(e.hosts.All()) > 0 && len(e.targets.Set()) > 0 && e.config.Age() < leaveAge
 	if e.ready.Swap(now) != now {
 		e.log.Info().Bool("ready", now).Bool("stopping", e.stopping.Load()).Dur("age", e.config.Age()).
 			Int("pools", len(e.targets.Set())).Msg("readiness changed")
--- a/lists/follow.go
+++ b/lists/follow.go
@@ -61,8 +61,6 @@
 	// wordEvery is how often a daemon that relies on its parent looks whether it
 	// still may.
 	wordEvery = 250 * time.Millisecond
-	// firstWord is how long a new daemon waits for a parent to hand on the lists.
-	firstWord = 600 * time.Millisecond
 	// maxRemoved is the number of removed entries that are kept for children.
 	maxRemoved = 1000
 )
@@ -86,11 +84,10 @@
 	floor   store.Version // version from which on all removals are among the records
 	removed int           // records of removed entries
 
-	started time.Duration
-	fails   int
-	last    atomic.Int64  // boot time at which the list was certainly complete; 0: never
-	word    atomic.Int64  // boot time of the last word of a parent; 0: none
-	renew   chan struct{} // ends the running watch
+	fails int
+	last  atomic.Int64  // boot time at which the list was certainly complete; 0: never
+	word  atomic.Int64  // boot time of the last word of a parent; 0: none
+	renew chan struct{} // ends the running watch
 }
 
 // record is what is known of one entry, for children.
@@ -107,7 +104,6 @@
 }
 
 func (f *follow) run(ctx context.Context) error {
-	f.started = f.boot()
 	for ctx.Err() == nil {
 		if f.relayed() {
 			f.fails = 0
@@ -126,12 +122,10 @@
 	return nil
 }
 
-// relayed reports whether a parent keeps this list complete, or may be about to.
+// relayed reports whether a parent keeps this list complete.
 func (f *follow) relayed() bool {
-	if word := f.word.Load(); word != 0 {
-		return f.boot()-time.Duration(word) < vouched && f.proof() < urgent
-	}
-	return f.boot()-f.started < firstWord
+	word := f.word.Load()
+	return word != 0 && f.boot()-time.Duration(word) < vouched && f.proof() < urgent
 }
 
 // step makes one call and applies its answer.
--- a/lists/hosts.go
+++ b/lists/hosts.go
@@ -36,15 +36,20 @@
 	written store.Version
 }
 
-// NewHosts returns the list with only this daemon on it.
+// NewHosts returns the list before it was read.
 func NewHosts(source Directory, self mesh.Host, list ...Option) *Hosts {
 	h := &Hosts{options: collect(list), source: source, self: self}
-	h.current.Store(&[]mesh.Host{self})
 	return h
 }
 
-// All returns the known daemons, this one included.
-func (h *Hosts) All() []mesh.Host { return *h.current.Load() }
+// All returns the known daemons, this one included; before the list was read,
+// none.
+func (h *Hosts) All() []mesh.Host {
+	if list := h.current.Load(); list != nil {
+		return *list
+	}
+	return nil
+}
 
 // Run enters this daemon and reads the list until ctx ends.
 func (h *Hosts) Run(ctx context.Context) error {
--- a/mesh/run.go
+++ b/mesh/run.go
@@ -20,6 +20,8 @@
 	method = "mesh"
 	// interval is the time between two messages to the parent.
 	interval = 200 * time.Millisecond
+	// firstInterval is the time between looks for the list of hosts at the start.
+	firstInterval = 20 * time.Millisecond
 	// most is the number of messages a second that a host takes from its
 	// children; beyond it the interval grows. At 0.2 ms each this is a tenth of
 	// half a core.
@@ -90,7 +92,7 @@
 
 // Run exchanges messages with the parent until ctx ends.
 func (r *Runner) Run(ctx context.Context) error {
-	next := time.NewTimer(interval)
+	next := time.NewTimer(firstInterval)
 	defer next.Stop()
 	var probed time.Time
 	for {
@@ -105,6 +107,10 @@
 			probed = time.Now()
 			r.probe(ctx, hosts)
 		}
+		if r.parent == "" && len(hosts) == 0 {
+			next.Reset(firstInterval)
+			continue
+		}
 		next.Reset(max(interval, time.Duration(len(hosts))*time.Second/most))
 	}
 }
