--- a/entry/entry.go
+++ b/entry/entry.go
@@ -25,9 +25,9 @@
 
 const (
 	// configWait is how long the store may hold the watch of the configuration
-	// of a host for which no other vouches. The answer proves that keys were
-	// current when the call was sent, so the proof is up to twice as old.
-	configWait = 700 * time.Millisecond
+	// of a host without a parent. The answer proves that keys were current when
+	// the call was sent, so the proof is up to twice as old.
+	configWait = 300 * time.Millisecond
 	// targetWait is how long it may hold the watch of the targets: less than the
 	// 20 s of its history.
 	targetWait = 12 * time.Second
--- a/lists/follow.go
+++ b/lists/follow.go
@@ -56,8 +56,10 @@
 	// asking the store itself: some messages.
 	vouched = time.Second
 	// urgent is the age of a list from which on it is not handed on, and a
-	// daemon asks the store itself before keys have to be refused.
-	urgent = 2400 * time.Millisecond
+	// daemon asks the store itself. With a parent that has contact the age stays
+	// below 1.1 s; a change must be in force after 2 s also where the parent
+	// lost contact just before.
+	urgent = 1300 * time.Millisecond
 	// wordEvery is how often a daemon that relies on its parent looks whether it
 	// still may.
 	wordEvery = 250 * time.Millisecond
@@ -240,6 +242,9 @@
 	return f.at
 }
 
+// Fresh implements mesh.List.
+func (f *follow) Fresh() bool { return f.proof() < urgent }
+
 // Since implements mesh.List.
 func (f *follow) Since(known store.Version) mesh.Relay {
 	age := f.proof()
--- a/mesh/relay.go
+++ b/mesh/relay.go
@@ -24,6 +24,8 @@
 type List interface {
 	// Known returns the version up to which the list is complete here.
 	Known() store.Version
+	// Fresh reports whether the list was complete a moment ago.
+	Fresh() bool
 	// Since returns what is known here beyond a version.
 	Since(known store.Version) Relay
 	// Take applies a parent's answer to a message that told it known and was
@@ -56,6 +58,16 @@
 	return out
 }
 
+// better reports whether this host knows the lists although its parent does not.
+func (l *Lists) better(relays []Relay) bool {
+	for i, list := range l.All {
+		if i < len(relays) && relays[i].At == 0 && list.Fresh() {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *Lists) take(relays []Relay, known []store.Version, sent time.Duration) {
 	if len(relays) != len(l.All) {
 		return
--- a/mesh/run.go
+++ b/mesh/run.go
@@ -28,6 +28,8 @@
 	most = 300
 	// patience bounds one exchange: a round trip between regions is 24 ms.
 	patience = 500 * time.Millisecond
+	// recovery is the time in which a new parent gets word from the store.
+	recovery = 600 * time.Millisecond
 	// retryAfter is the pause before a host that did not answer is tried again,
 	// doubled up to retryMost.
 	retryAfter = time.Second
@@ -68,6 +70,8 @@
 	mu     sync.Mutex
 	down   map[model.HostID]outage
 	parent model.HostID
+	behind model.HostID // the parent that is out of date
+	since  time.Time    // since when
 }
 
 type outage struct {
@@ -145,6 +149,11 @@
 		return false
 	}
 	r.node.Receive(h.ID, &answer.Sum)
+	if r.outOfDate(h.ID, answer) {
+		r.node.Drop(h.ID)
+		r.fail(h.ID, errOutOfDate)
+		return false
+	}
 	r.lists.take(answer.Relays, known, sent)
 	r.mu.Lock()
 	delete(r.down, h.ID)
@@ -152,6 +161,23 @@
 	return true
 }
 
+// errOutOfDate is the reason for leaving a parent that lost the store.
+var errOutOfDate = errors.New("the parent has no contact with the store, unlike this host")
+
+// outOfDate reports whether a parent has been without word from the store for
+// longer than it takes to get one, while this host has it. While the store is
+// away for all, the tree stays as it is.
+func (r *Runner) outOfDate(id model.HostID, answer *Message) bool {
+	if !r.lists.better(answer.Relays) {
+		r.behind, r.since = "", time.Time{}
+		return false
+	}
+	if r.behind != id {
+		r.behind, r.since = id, time.Now()
+	}
+	return time.Since(r.since) > recovery
+}
+
 // adopt notes the parent and ends the link to the one before.
 func (r *Runner) adopt(id model.HostID) {
 	if id == r.parent {
