--- a/lists/follow.go
+++ b/lists/follow.go
@@ -250,10 +250,12 @@
 	age := f.proof()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.at == 0 || known > f.at || age >= urgent {
+	if f.at == 0 || age >= urgent {
 		return mesh.Relay{}
 	}
-	r := mesh.Relay{At: f.at, Whole: known < f.floor, Age: model.Millis(age/time.Millisecond) + 1}
+	// A child that has asked the store itself may know more. It needs nothing
+	// but the word that it will be told of what follows.
+	r := mesh.Relay{At: max(f.at, known), Whole: known < f.floor, Age: model.Millis(age/time.Millisecond) + 1}
 	for _, e := range f.records {
 		if r.Whole && !e.event.Deleted || !r.Whole && e.learned > known {
 			r.Events = append(r.Events, e.event)
--- a/lists/targets.go
+++ b/lists/targets.go
@@ -13,7 +13,7 @@
 const (
 	// targetPause joins changes of several targets. A leaving target must get
 	// no request after 2 s.
-	targetPause = time.Second
+	targetPause = 250 * time.Millisecond
 	// lapse is the time without word from the store after which entries may have
 	// lapsed only because they could not be renewed. They lapse after three
 	// heartbeats, 4.5 s; the usual word is at most 2.4 s old.
