--- a/mesh/run.go
+++ b/mesh/run.go
@@ -19,13 +19,13 @@
 	// method is the name of the exchange on the wire.
 	method = "mesh"
 	// interval is the time between two messages to the parent.
-	interval = 200 * time.Millisecond
+	interval = 100 * time.Millisecond
 	// firstInterval is the time between looks for the list of hosts at the start.
 	firstInterval = 20 * time.Millisecond
 	// most is the number of messages a second that a host takes from its
 	// children; beyond it the interval grows. At 0.2 ms each this is a tenth of
 	// half a core.
-	most = 300
+	most = 400
 	// patience bounds one exchange: a round trip between regions is 24 ms.
 	patience = 500 * time.Millisecond
 	// recovery is the time in which a new parent gets word from the store.
--- a/place/choose.go
+++ b/place/choose.go
@@ -12,10 +12,10 @@
 const (
 	// lostForGood is the cost in seconds of a failure of a request that may not
 	// be repeated: about three times what it takes.
-	lostForGood = 2.0
+	lostForGood = 1.2
 	// lostOnce is the cost of a failure of a request that may be repeated: the
 	// time that is gone, and a part of the retry budget.
-	lostOnce = 0.4
+	lostOnce = 0.2
 	// domainByte and regionByte are the cost in seconds of a byte that crosses
 	// between failure domains or regions. A byte between regions is billed at
 	// seven times the price, and 90 KB between domains at half a request.
