place, mesh: estimate each target's load from what all hosts sent

Cause: a host saw a target's load only in answers, up to half a second old, and all hosts chose the same one.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -118,7 +118,8 @@
 		Field:    e.field,
 		Exchange: exch.New(exch.WithHeaders(e.adapter.Headers()), exch.WithConnect(connectWait), exch.WithIdle(idleTime),
 			exch.WithBuffer(maxAnswer), exch.WithConnections(maxConnections)),
-		See: reports{e.node}.see,
+		See:   reports{e.node}.see,
+		Moved: reports{e.node}.moved,
 	}, proxy.WithLog(e.log), proxy.WithMeter(e.meter.Scope()))
 }
 
--- a/entry/share.go
+++ b/entry/share.go
@@ -43,6 +43,11 @@
 	r.node.Note(func(s *mesh.Sum) { s.Target(id, t) })
 }
 
+// moved tells of requests that were sent to a target, or ended there.
+func (r reports) moved(id model.TargetID, sent, ended uint32) {
+	r.node.Note(func(s *mesh.Sum) { s.Target(id, mesh.Tally{Sent: sent, Ended: ended}) })
+}
+
 // hear takes what other daemons report. Good sights count first, so that a
 // target that just began to fail is not excused by them.
 func (e *Entry) hear(s *mesh.Sum) {
@@ -58,6 +63,7 @@
 				e.field.Others(now, sight)
 			}
 		}
+		e.field.Moves(now, id, int(t.Sent), int(t.Ended))
 		if t.Load > 0 {
 			e.field.Load(now, id, float64(t.Load-1))
 		}
--- a/mesh/sum.go
+++ b/mesh/sum.go
@@ -12,7 +12,9 @@
 	Bad  uint32 `cbor:"4,keyasint,omitempty"` // failures of the target
 	// Load is the newest number of requests that the target ran or queued, plus
 	// one; 0 is unknown.
-	Load uint32 `cbor:"5,keyasint,omitempty"`
+	Load  uint32 `cbor:"5,keyasint,omitempty"`
+	Sent  uint32 `cbor:"6,keyasint,omitempty"` // requests sent to the target
+	Ended uint32 `cbor:"7,keyasint,omitempty"` // requests that ended there
 }
 
 // Use counts requests.
@@ -41,6 +43,8 @@
 	old.Slow += t.Slow
 	old.Lost += t.Lost
 	old.Bad += t.Bad
+	old.Sent += t.Sent
+	old.Ended += t.Ended
 	if t.Load > 0 {
 		old.Load = t.Load
 	}
--- a/place/choose.go
+++ b/place/choose.go
@@ -24,9 +24,9 @@
 	// domainTrip and regionTrip are the round trips in seconds.
 	domainTrip = 0.002
 	regionTrip = 0.025
-	// loadLife is the time in seconds in which a reported load loses most of
-	// its weight: about the time that a request takes.
-	loadLife = 0.5
+	// loadLife is the time in seconds in which the estimate of a load loses most
+	// of its weight: a few requests, after which the target has told a newer one.
+	loadLife = 1.0
 	// usual is the share of its slots that a target uses when nothing newer is
 	// known.
 	usual = 0.4
@@ -147,11 +147,16 @@
 }
 
 // expected returns the number of requests that the target is expected to have:
-// what it last told fades to the usual, and this daemon's own are certain.
+// the estimate fades to the usual, and this daemon's own are certain.
 func (t *Target) expected(now time.Time) float64 {
-	common := usual * float64(t.Slots)
+	load := usual * float64(t.Slots)
 	if !t.loadAt.IsZero() {
-		common += (t.load - common) * math.Exp(-now.Sub(t.loadAt).Seconds()/loadLife)
+		load += (t.load - load) * math.Exp(-now.Sub(t.loadAt).Seconds()/loadLife)
 	}
-	return max(common, float64(t.flying))
+	return max(load, float64(t.flying), 0)
+}
+
+// move changes the estimate by requests that were sent or ended.
+func (t *Target) move(now time.Time, by float64) {
+	t.load, t.loadAt = t.expected(now)+by, now
 }
--- a/place/field.go
+++ b/place/field.go
@@ -39,7 +39,8 @@
 
 	flying int       // requests of this daemon
 	tried  time.Time // when any daemon last sent it a request, as far as known
-	// load is what the target last reported to any daemon, running and waiting.
+	// load is the estimated number of requests that the target runs and queues:
+	// what it last told any daemon, with what was sent and ended since.
 	load   float64
 	loadAt time.Time
 }
@@ -131,19 +132,31 @@
 	}
 }
 
+// Moves takes the requests that other daemons sent to a target, and those that
+// ended there.
+func (f *Field) Moves(now time.Time, id model.TargetID, sent, ended int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if t := f.targets[id]; t != nil {
+		t.move(now, float64(sent-ended))
+	}
+}
+
 // Begin counts a request that is sent to the target.
 func (t *Target) Begin(now time.Time) {
 	t.field.mu.Lock()
 	defer t.field.mu.Unlock()
 	t.flying++
 	t.tried = now
+	t.move(now, 1)
 }
 
 // End counts the end of a request.
-func (t *Target) End() {
+func (t *Target) End(now time.Time) {
 	t.field.mu.Lock()
 	defer t.field.mu.Unlock()
 	t.flying--
+	t.move(now, -1)
 }
 
 // See takes what this daemon saw of the target.
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -60,6 +60,8 @@
 	Exchange Exchanger
 	// See tells the other daemons what an exchange showed; load is negative if unknown.
 	See func(id model.TargetID, s grade.Sight, load float64)
+	// Moved tells them of requests that were sent to a target, or ended there.
+	Moved func(id model.TargetID, sent, ended uint32)
 }
 
 // Proxy is the handler of callers' requests.
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -116,6 +116,7 @@
 		Age: func() time.Duration { return time.Duration(w.age.Load()) }, Limiter: generous{}, Field: field,
 		Exchange: exch.New(exch.WithHeaders(exch.Headers{Deadline: "Deadline", Expect: "Expect", Shed: "Shed", AnyShed: true, Request: "Request", Signature: "Signature"})),
 		See:      func(model.TargetID, grade.Sight, float64) {},
+		Moved:    func(model.TargetID, uint32, uint32) {},
 	})
 	server := httptest.NewServer(p)
 	t.Cleanup(server.Close)
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -142,6 +142,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	f.prepare(req)
 	s.target.Begin(time.Now())
+	f.proxy.parts.Moved(s.target.ID, 1, 0)
 	watch := time.AfterFunc(f.slowAfter(), func() {
 		s.slow.Store(true)
 		f.see(s.target, grade.Slow, -1, &exch.Outcome{Wait: f.slowAfter()})
@@ -149,7 +150,8 @@
 	started := time.Now()
 	s.out = f.proxy.parts.Exchange.Do(f.ctx, &s.target.Target, req, s.resp)
 	watch.Stop()
-	s.target.End()
+	s.target.End(time.Now())
+	f.proxy.parts.Moved(s.target.ID, 0, 1)
 	load, told := f.proxy.parts.Words.LoadOf(string(s.resp.Header.Peek(f.proxy.parts.Words.Load)))
 	if !told {
 		load = -1
