--- a/proxy/run.go
+++ b/proxy/run.go
@@ -102,7 +102,10 @@
 	if a := f.recheck(); a != nil {
 		return f.settled(a)
 	}
-	need := place.Need{Pool: f.pool, Work: f.work, Bytes: f.bytes, Repeat: f.repeatable(), Tried: f.tried}
+	// The last send of a request that may be repeated is as precious as one that
+	// may not be.
+	again := f.repeatable() && f.sends == 0
+	need := place.Need{Pool: f.pool, Work: f.work, Bytes: f.bytes, Repeat: again, Tried: f.tried}
 	t, ok := f.proxy.parts.Field.Choose(time.Now(), need, rand.IntN)
 	if !ok {
 		if f.kept != nil || f.maybe {
