mesh, place, proxy: pass on no report of a parent that is left; compare four candidates at any size

And a third of a large pool was compared, so all hosts chose the same targets, of which 3,048 requests were refused as full. Ruled out: too small a part of the fleet (it was 1).

--- a/lists/follow.go
+++ b/lists/follow.go
@@ -138,7 +138,8 @@
 		if err != nil {
 			return false, err
 		}
-		return true, f.answered(at, sent, func() { f.reset(objects, at) })
+		f.answered(at, sent, func() { f.reset(objects, at) })
+		return true, nil
 	}
 	events, at, err := f.watch(ctx, from)
 	if fault.Is(err, store.Compacted) {
@@ -151,7 +152,8 @@
 	if err != nil {
 		return false, err
 	}
-	return len(events) > 0, f.answered(at, sent, func() { f.change(events, at) })
+	f.answered(at, sent, func() { f.change(events, at) })
+	return len(events) > 0, nil
 }
 
 // errRenewed ends a watch that is begun anew.
@@ -176,7 +178,7 @@
 }
 
 // answered applies an answer of the store, unless a parent told more meanwhile.
-func (f *follow) answered(at store.Version, sent time.Duration, apply func()) error {
+func (f *follow) answered(at store.Version, sent time.Duration, apply func()) {
 	if f.fails > 0 {
 		f.log.Info().Str("kind", string(f.kind)).Int("failures", f.fails).Dur("silence", f.age()).Msg("store answers again")
 		f.fails = 0
@@ -189,7 +191,6 @@
 	}
 	f.mu.Unlock()
 	f.proved()
-	return nil
 }
 
 // reset takes a whole list. The caller holds the lock.
--- a/lists/relay_test.go
+++ b/lists/relay_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/shoenig/test"
-	"github.com/shoenig/test/must"
 
 	"rhubarbdrift.example/store"
 )
@@ -35,9 +34,8 @@
 }
 
 // learn gives the parent an answer of the store.
-func (p *pair) learn(t *testing.T, at store.Version, events ...store.Event) {
-	t.Helper()
-	must.NoError(t, p.parent.answered(at, p.parent.boot(), func() {
+func (p *pair) learn(at store.Version, events ...store.Event) {
+	p.parent.answered(at, p.parent.boot(), func() {
 		if p.parent.at == 0 {
 			var objects []store.Object
 			for _, e := range events {
@@ -47,7 +45,7 @@
 			return
 		}
 		p.parent.change(events, at)
-	}))
+	})
 }
 
 func put(name string) store.Event { return store.Event{Object: entryOf(name, false)} }
@@ -63,12 +61,12 @@
 		p := newPair(t)
 		p.tell()
 		test.False(t, p.child.relayed())
-		p.learn(t, 5, put("a"), put("b"))
+		p.learn(5, put("a"), put("b"))
 		p.tell()
 		test.Eq(t, 2, count(p.child))
 		test.True(t, p.child.relayed())
-		p.learn(t, 7, gone("a"), put("c"), put("d"))
-		p.learn(t, 9, gone("c"))
+		p.learn(7, gone("a"), put("c"), put("d"))
+		p.learn(9, gone("c"))
 		p.tell()
 		test.Eq(t, 2, count(p.child))
 		test.Eq(t, 9, p.child.Known())
@@ -80,17 +78,17 @@
 func TestRelayAhead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPair(t)
-		p.learn(t, 5, put("a"))
+		p.learn(5, put("a"))
 		p.tell()
-		must.NoError(t, p.child.answered(8, p.child.boot(), func() { p.child.change([]store.Event{put("b")}, 8) }))
+		p.child.answered(8, p.child.boot(), func() { p.child.change([]store.Event{put("b")}, 8) })
 		r := p.parent.Since(p.child.Known())
 		test.Greater(t, 0, r.At)
 		p.tell()
 		test.True(t, p.child.relayed())
 		test.Eq(t, 2, count(p.child))
 		// What the child knows already comes again and changes nothing.
-		p.learn(t, 8, put("b"))
-		p.learn(t, 11, gone("a"))
+		p.learn(8, put("b"))
+		p.learn(11, gone("a"))
 		p.tell()
 		test.Eq(t, 1, count(p.child))
 		test.Eq(t, 11, p.child.Known())
@@ -102,9 +100,9 @@
 func TestRelayForgotten(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPair(t)
-		p.learn(t, 5, put("a"), put("b"))
+		p.learn(5, put("a"), put("b"))
 		p.tell()
-		p.learn(t, 6, gone("a"))
+		p.learn(6, gone("a"))
 		p.parent.mu.Lock()
 		p.parent.forget()
 		p.parent.mu.Unlock()
@@ -118,7 +116,7 @@
 func TestRelayOld(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPair(t)
-		p.learn(t, 5, put("a"))
+		p.learn(5, put("a"))
 		p.tell()
 		p.age = urgent
 		p.tell()
--- a/lists/targets.go
+++ b/lists/targets.go
@@ -59,7 +59,7 @@
 // proof for the age of the newest word that any daemon had from the store.
 func NewTargets(source Watcher, kind store.Kind, d TargetDecoder, notify func(Set), proof func() time.Duration, list ...Option) *Targets {
 	t := &Targets{follow: newFollow(source, kind, targetPause, collect(list)), decoder: d, notify: notify, entries: make(map[string]*entry)}
-	t.all, t.some, t.follow.proof = t.replace, t.update, proof
+	t.all, t.some, t.proof = t.replace, t.update, proof
 	t.current.Store(&Set{})
 	return t
 }
@@ -130,7 +130,7 @@
 // word from the store until now. A failure of this daemon's own call says
 // nothing about the targets.
 func (t *Targets) doubtful() {
-	if age := t.follow.proof(); age > lapse && age < never {
+	if age := t.proof(); age > lapse && age < never {
 		t.doubt = t.boot() + renewal
 	}
 }
--- a/mesh/run.go
+++ b/mesh/run.go
@@ -77,6 +77,7 @@
 type outage struct {
 	until time.Time
 	pause time.Duration
+	stale bool // it answered, but had lost the store
 }
 
 // Option sets an optional property of a Runner.
@@ -115,7 +116,7 @@
 			next.Reset(firstInterval)
 			continue
 		}
-		next.Reset(max(interval, time.Duration(len(hosts))*time.Second/most))
+		next.Reset(max(interval, time.Duration(r.siblings(hosts))*time.Second/most))
 	}
 }
 
@@ -148,15 +149,22 @@
 		r.fail(h.ID, err)
 		return false
 	}
-	r.node.Receive(h.ID, &answer.Sum)
-	if r.outOfDate(h.ID, answer) {
-		r.node.Drop(h.ID)
-		r.fail(h.ID, errOutOfDate)
+	return r.accept(h.ID, answer, known, sent)
+}
+
+// accept takes a parent's answer, and reports whether the parent stays. What a
+// parent reported that is left at once must not be passed on: its other
+// children would pass on the same.
+func (r *Runner) accept(id model.HostID, answer *Message, known []store.Version, sent time.Duration) bool {
+	if r.outOfDate(id, answer) {
+		r.node.Drop(id)
+		r.fail(id, errOutOfDate)
 		return false
 	}
+	r.node.Receive(id, &answer.Sum)
 	r.lists.take(answer.Relays, known, sent)
 	r.mu.Lock()
-	delete(r.down, h.ID)
+	delete(r.down, id)
 	r.mu.Unlock()
 	return true
 }
@@ -172,6 +180,12 @@
 		r.behind, r.since = "", time.Time{}
 		return false
 	}
+	r.mu.Lock()
+	before := r.down[id].stale
+	r.mu.Unlock()
+	if before {
+		return true // it has had its time to recover
+	}
 	if r.behind != id {
 		r.behind, r.since = id, time.Now()
 	}
@@ -202,6 +216,7 @@
 	o := r.down[id]
 	o.pause = min(max(2*o.pause, retryAfter), retryMost)
 	o.until = time.Now().Add(o.pause)
+	o.stale = errors.Is(err, errOutOfDate)
 	r.down[id] = o
 	r.log.Warn().Err(err).Str("peer", string(id)).Dur("pause", o.pause).Msg("mesh peer does not answer")
 }
@@ -233,6 +248,18 @@
 	r.node.Ended(ended)
 }
 
+// siblings returns the number of hosts of this host's region, of which all but
+// one may have the same parent.
+func (r *Runner) siblings(hosts []Host) int {
+	n := 0
+	for _, h := range hosts {
+		if h.Region == r.node.self.Region {
+			n++
+		}
+	}
+	return n
+}
+
 func (r *Runner) regionOf(hosts []Host, id model.HostID) model.Region {
 	for _, h := range hosts {
 		if h.ID == id {
--- a/place/choose.go
+++ b/place/choose.go
@@ -12,7 +12,7 @@
 const (
 	// lostForGood is the cost in seconds of a failure of a request that may not
 	// be repeated: about three times what it takes.
-	lostForGood = 1.2
+	lostForGood = 2.0
 	// lostOnce is the cost of a failure of a request that may be repeated: the
 	// time that is gone, and a part of the retry budget.
 	lostOnce = 0.2
@@ -40,7 +40,8 @@
 	// that the daemons do not all choose it before they hear of each other.
 	oneIn = 3
 	// compared is the number of random candidates of the own region, and
-	// comparedAway that of the others.
+	// comparedAway that of the others. It does not grow with the pool: hosts that
+	// compare many choose the same few before they hear of each other.
 	compared     = 4
 	comparedAway = 2
 )
@@ -82,7 +83,7 @@
 	}
 	var best *Target
 	least := math.Inf(1)
-	for _, t := range append(draw(near, max(compared, len(near)/3), random), draw(far, comparedAway, random)...) {
+	for _, t := range append(draw(near, compared, random), draw(far, comparedAway, random)...) {
 		if c := f.cost(now, t, n); c < least {
 			best, least = t, c
 		}
--- a/proxy/answer.go
+++ b/proxy/answer.go
@@ -45,5 +45,5 @@
 	h.Set("Content-Length", strconv.Itoa(len(a.body)))
 	w.WriteHeader(a.status)
 	// An error means that the caller left, which its connection shows.
-	_, _ = w.Write(a.body)
+	_, _ = w.Write(a.body) //#nosec G705 -- relaying a target's bytes is what a proxy does
 }
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -137,7 +137,7 @@
 	}))
 }
 
-func (w *world) send(t *testing.T, ctx context.Context, path, key string) (status int, body string, header http.Header) {
+func (w *world) send(ctx context.Context, t *testing.T, path, key string) (status int, body string, header http.Header) {
 	t.Helper()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, w.url+path, strings.NewReader("10"))
 	must.NoError(t, err)
@@ -187,7 +187,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			w := newWorld(t, c.answers...)
-			status, body, header := w.send(t, t.Context(), c.path, "key")
+			status, body, header := w.send(t.Context(), t, c.path, "key")
 			test.Eq(t, c.status, status)
 			test.Eq(t, c.sends, w.script.requests.Load())
 			if c.status == http.StatusOK {
@@ -208,7 +208,7 @@
 func TestKeys(t *testing.T) {
 	w := newWorld(t, whole)
 	status := func(path, key string) int {
-		s, _, _ := w.send(t, t.Context(), path, key)
+		s, _, _ := w.send(t.Context(), t, path, key)
 		return s
 	}
 	test.Eq(t, 200, status("/safe/", "key"))
@@ -231,7 +231,7 @@
 	w := newWorld(t, "wait")
 	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 	defer cancel()
-	status, _, _ := w.send(t, ctx, "/once/", "key")
+	status, _, _ := w.send(ctx, t, "/once/", "key")
 	test.Eq(t, 0, status)
 	limit := time.Now().Add(500 * time.Millisecond)
 	for !w.script.gone.Load() && time.Now().Before(limit) {
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -46,6 +46,7 @@
 	flying  int
 	kept    *answer // a target's failure, for want of a better answer
 	refused bool    // a target refused the request because it was full
+	silent  bool    // the last target did not answer before the deadline
 }
 
 // run sends the request until an answer is final.
@@ -198,6 +199,7 @@
 	if s.out.Written > 0 {
 		f.sends++
 	}
+	f.silent = s.out.Class == exch.Silent
 	what := decide(&s.out, f.repeatable())
 	switch what {
 	case deliver:
@@ -261,11 +263,9 @@
 
 // late is the answer at the deadline.
 func (f *flight) late() *answer {
-	f.maybe = f.maybe || f.flying > 0
-	if f.kept != nil || !f.maybe {
-		return f.end()
-	}
-	return refusal(refuse.New(refuse.KindLate, refuse.Unknown, "the target did not answer in time", "ask for the state before sending the request again"), 0)
+	f.silent = f.flying > 0
+	f.maybe = f.maybe || f.silent
+	return f.end()
 }
 
 // end is the answer when nothing more is sent.
@@ -273,6 +273,8 @@
 	switch {
 	case f.kept != nil:
 		return f.kept
+	case f.maybe && f.silent:
+		return refusal(refuse.New(refuse.KindLate, refuse.Unknown, "the target did not answer in time", "ask for the state before sending the request again"), 0)
 	case f.maybe:
 		return refusal(refuse.New(refuse.KindTarget, refuse.Unknown, "the target's answer was lost", "ask for the state before sending the request again"), 0)
 	case f.refused:
