--- a/cmds/script_test.go
+++ b/cmds/script_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"os"
 	"regexp"
@@ -14,6 +13,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/valyala/fasthttp"
 
+	"rhubarbdrift.example/loopip"
 	"rhubarbdrift.example/model"
 )
 
@@ -48,22 +48,19 @@
 	})
 }
 
-// firstPort is the first port of a script's addresses. It lies below the range
-// that the system gives to outgoing connections.
-const firstPort = 7001
-
 // setup gives each script addresses that no other process takes, and digests,
 // in its environment. The addresses share a loopback IP of the script's own.
 func setup(e *testscript.Env) error {
-	ip, err := ownIP(e)
+	ip, release, err := loopip.Own()
 	if err != nil {
 		return err
 	}
+	e.Defer(release)
 	for i, name := range []string{
 		"PLATFORM", "TARGET", "CALLERS", "PEERS", "ADMIN",
 		"CALLERS2", "PEERS2", "ADMIN2", "CALLERS3", "PEERS3", "ADMIN3", "LINK", "SWITCH",
 	} {
-		e.Setenv(name, net.JoinHostPort(ip, strconv.Itoa(firstPort+i)))
+		e.Setenv(name, net.JoinHostPort(ip, strconv.Itoa(loopip.FirstPort+i)))
 	}
 	e.Setenv("KEY", scriptKey)
 	e.Setenv("DIGEST", string(model.DigestOf([]byte(scriptKey))))
@@ -72,23 +69,6 @@
 	return nil
 }
 
-// ownIP returns a loopback IP and keeps a listener on it until the script ends,
-// so that scripts of other test processes choose another one.
-func ownIP(e *testscript.Env) (string, error) {
-	const tries = 100
-	var last error
-	for range tries {
-		ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), rand.IntN(250), 1+rand.IntN(250))
-		ln, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(firstPort-1)))
-		if err == nil {
-			e.Defer(func() { _ = ln.Close() })
-			return ip, nil
-		}
-		last = err
-	}
-	return "", fmt.Errorf("no free loopback IP in %d tries: %w", tries, last)
-}
-
 // expand replaces environment variables in files: expand FILE...
 func expand(ts *testscript.TestScript, _ bool, args []string) {
 	for _, f := range args {
