--- a/lists/targets_test.go
+++ b/lists/targets_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,9 +22,9 @@
 	events chan []store.Event
 	fail   chan error
 	// watches counts the calls.
-	watches int
+	watches atomic.Int32
 	// silence is the age of the newest word from the store.
-	silence time.Duration
+	silence atomic.Int64
 }
 
 func newScript(names ...string) *script {
@@ -47,7 +48,7 @@
 }
 
 func (s *script) Watch(ctx context.Context, _ store.Kind, _ store.Version) ([]store.Event, store.Version, error) {
-	s.watches++
+	s.watches.Add(1)
 	select {
 	case e := <-s.events:
 		s.at++
@@ -77,7 +78,7 @@
 	t.Helper()
 	start := time.Now()
 	boot := func() time.Duration { return time.Since(start) + time.Hour }
-	list := NewTargets(s, "targets", plainDecoder{}, func(Set) {}, func() time.Duration { return s.silence }, WithBoot(boot))
+	list := NewTargets(s, "targets", plainDecoder{}, func(Set) {}, func() time.Duration { return time.Duration(s.silence.Load()) }, WithBoot(boot))
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(func() { cancel(); synctest.Wait() })
 	go func() { _ = list.Run(ctx) }()
@@ -117,11 +118,11 @@
 			s.fail <- store.ErrUnavailable("test")
 		}
 		time.Sleep(5 * time.Second)
-		s.silence = 5 * time.Second
+		s.silence.Store(int64(5 * time.Second))
 		s.events <- []store.Event{{Object: entryOf("a", false), Deleted: true}, {Object: entryOf("b", false), Deleted: true}}
 		time.Sleep(time.Second)
 		test.Eq(t, 2, targets())
-		s.silence = 0
+		s.silence.Store(0)
 		s.events <- []store.Event{{Object: entryOf("a", false)}}
 		time.Sleep(renewal + time.Second)
 		test.Eq(t, 1, targets())
@@ -151,14 +152,14 @@
 		defer func() { cancel(); synctest.Wait() }()
 		go func() { _ = list.Run(ctx) }()
 		time.Sleep(2 * time.Second)
-		calls := s.watches
+		calls := s.watches.Load()
 		for range 10 {
 			list.Seen(7) // from a daemon that knows more
 			list.Seen(1) // from this daemon's own older answer
 			time.Sleep(200 * time.Millisecond)
 		}
 		synctest.Wait()
-		test.Greater(t, calls, s.watches)
+		test.Greater(t, calls, s.watches.Load())
 		// A watch that was ended without an answer proves nothing: the last proof
 		// is the list, read four seconds ago.
 		test.Eq(t, 4*time.Second, list.age())
