--- a/place/place_test.go
+++ b/place/place_test.go
@@ -157,9 +157,8 @@
 }
 
 // TestLoads plays heavy loads of the users' pools and checks what callers get,
-// against targets chosen at random. The bounds are the users' worst marks: a
-// twentieth may be late or lost where there is room, and a seventh where sick
-// targets take most of it.
+// against targets chosen at random. At most a twentieth may fail where there is
+// room. A request that may be repeated is sent again once, as the proxy does.
 func TestLoads(t *testing.T) {
 	for name, c := range map[string]struct {
 		load   load
