mesh: a tree by failure domains, with strong heads

Cause: all hosts of a region had one parent, the first by rendezvous rank. Ruled out: store answers that are slow (none of 8,456 calls failed but 8), watches woken by heartbeats (the calls come with the timeouts of the mesh). Change: one head a failure domain, a few hubs, parents by rendezvous hash among the hubs; hosts with more processor come first; heads exchange messages every 40 ms, the others every 80 ms; a parent in the region is given up after 200 ms. Tests: mesh TestFan (fails on the star), TestChurn, TestOnceGrown.

--- a/entry/settings.go
+++ b/entry/settings.go
@@ -19,6 +19,7 @@
 	Host    model.HostID
 	Region  model.Region
 	Domain  model.Domain
+	Power   model.Cores
 	Callers string // IP address and port for callers
 	Ready   string // for the balancer's question whether this host is ready, and for metrics
 	Peers   string // for other daemons
@@ -49,6 +50,9 @@
 			return fault.Invalid(name, fmt.Sprintf("%q is not an IP address and port", value), "write it as 10.0.0.1:8080")
 		}
 	}
+	if s.Power <= 0 {
+		return fault.Invalid("processor", fmt.Sprintf("%v cores are not above 0", s.Power), "state the share of the processor that the host has")
+	}
 	if s.KeyLife <= 0 || s.Grace <= 0 {
 		return fault.Invalid("bounds", "the life of withdrawn keys or the time for a planned stop is missing", "set both above 0")
 	}
@@ -79,5 +83,5 @@
 }
 
 func (s *Settings) self() mesh.Host {
-	return mesh.Host{ID: s.Host, Region: s.Region, Domain: s.Domain, Address: s.Peers}
+	return mesh.Host{ID: s.Host, Region: s.Region, Domain: s.Domain, Address: s.Peers, Power: s.Power}
 }
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -20,6 +20,8 @@
 	heard map[model.HostID]uint32 // bad sights heard of
 	down  map[model.HostID]bool
 	cut   func(a, b Host) bool
+
+	parents map[model.HostID][]Host // of each host
 }
 
 func newFleet(perRegion int) *fleet {
@@ -28,13 +30,27 @@
 	for _, region := range []model.Region{"north", "south"} {
 		for i := range perRegion {
 			h := Host{ID: model.HostID(fmt.Sprintf("%s-%d", region, i)), Region: region}
-			f.hosts = append(f.hosts, h)
-			f.nodes[h.ID] = NewNode(h, func() time.Time { return f.now }, func(s *Sum) { f.heard[h.ID] += s.Targets["t"].Bad })
+			f.add(h)
 		}
 	}
 	return f
 }
 
+func (f *fleet) add(h Host) {
+	f.hosts = append(f.hosts, h)
+	f.nodes[h.ID] = NewNode(h, func() time.Time { return f.now }, func(s *Sum) { f.heard[h.ID] += s.Targets["t"].Bad })
+}
+
+func (f *fleet) candidates(h Host) []Host {
+	if f.parents == nil {
+		f.parents = make(map[model.HostID][]Host)
+	}
+	if f.parents[h.ID] == nil {
+		f.parents[h.ID] = Parents(h, f.hosts)
+	}
+	return f.parents[h.ID]
+}
+
 // round lets every host exchange messages with its parent once, in a random order.
 func (f *fleet) round(random *rand.Rand) {
 	f.now = f.now.Add(interval)
@@ -44,7 +60,7 @@
 			continue
 		}
 		n := f.nodes[h.ID]
-		for _, p := range Parents(h, f.hosts) {
+		for _, p := range f.candidates(h) {
 			if f.down[p.ID] || f.cut(h, p) {
 				n.Drop(p.ID)
 				continue
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -1,8 +1,6 @@
 package mesh
 
 import (
-	"cmp"
-	"slices"
 	"sync"
 	"time"
 
@@ -37,6 +35,7 @@
 	Region  model.Region `json:"region"  cbor:"2,keyasint"`
 	Domain  model.Domain `json:"domain"  cbor:"3,keyasint"`
 	Address string       `json:"address" cbor:"4,keyasint"` // for other daemons
+	Power   model.Cores  `json:"power"   cbor:"5,keyasint"` // of its processor
 }
 
 // NewNode returns a node without links. It calls heard with what other hosts
@@ -134,41 +133,3 @@
 		}
 	}
 }
-
-// Parents returns the hosts that may be the parent of self, the best first:
-// the better ones of its own region, and behind them those of regions before
-// its own. The order is the same on all hosts whatever list they have, so that
-// links never form a circle.
-func Parents(self Host, hosts []Host) []Host {
-	var list []Host
-	for _, h := range hosts {
-		if order(h, self) < 0 {
-			list = append(list, h)
-		}
-	}
-	slices.SortFunc(list, func(a, b Host) int {
-		if near := cmp.Compare(away(self, a), away(self, b)); near != 0 {
-			return near
-		}
-		return order(a, b)
-	})
-	return list
-}
-
-func away(self, h Host) int {
-	if h.Region == self.Region {
-		return 0
-	}
-	return 1
-}
-
-// order compares hosts by region and, within it, by rendezvous rank.
-func order(a, b Host) int {
-	if c := cmp.Compare(a.Region, b.Region); c != 0 {
-		return c
-	}
-	if c := cmp.Compare(model.Rank(a.ID, "mesh"), model.Rank(b.ID, "mesh")); c != 0 {
-		return c
-	}
-	return cmp.Compare(a.ID, b.ID)
-}
--- a/mesh/run.go
+++ b/mesh/run.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -18,16 +19,16 @@
 const (
 	// method is the name of the exchange on the wire.
 	method = "mesh"
-	// interval is the time between two messages to the parent.
-	interval = 100 * time.Millisecond
+	// interval is the time between two messages to a parent in the own failure
+	// domain, and headInterval that of a head, which speaks for its domain.
+	interval     = 80 * time.Millisecond
+	headInterval = 40 * time.Millisecond
 	// firstInterval is the time between looks for the list of hosts at the start.
 	firstInterval = 20 * time.Millisecond
-	// most is the number of messages a second that a host takes from its
-	// children; beyond it the interval grows. At 0.2 ms each this is a tenth of
-	// half a core.
-	most = 400
-	// patience bounds one exchange: a round trip between regions is 24 ms.
-	patience = 500 * time.Millisecond
+	// patience bounds one exchange within a region, where a round trip is 3 ms,
+	// and farPatience one between regions, where it is 24 ms.
+	patience    = 200 * time.Millisecond
+	farPatience = 500 * time.Millisecond
 	// recovery is the time in which a new parent gets word from the store.
 	recovery = 600 * time.Millisecond
 	// retryAfter is the pause before a host that did not answer is tried again,
@@ -67,9 +68,12 @@
 	hosts func() []Host
 	log   zerolog.Logger
 
+	listed  []Host // the list of hosts that parents were computed from
+	parents []Host
+
 	mu     sync.Mutex
 	down   map[model.HostID]outage
-	parent model.HostID
+	parent Host
 	behind model.HostID // the parent that is out of date
 	since  time.Time    // since when
 }
@@ -107,19 +111,35 @@
 		case <-next.C:
 		}
 		hosts := r.hosts()
-		r.exchange(ctx, Parents(r.node.self, hosts))
-		if time.Since(probed) >= probeEvery {
+		r.exchange(ctx, r.candidates(hosts))
+		if r.node.Hosts() < len(hosts) && time.Since(probed) >= probeEvery {
 			probed = time.Now()
 			r.probe(ctx, hosts)
 		}
-		if r.parent == "" && len(hosts) == 0 {
-			next.Reset(firstInterval)
-			continue
-		}
-		next.Reset(max(interval, time.Duration(r.siblings(hosts))*time.Second/most))
+		next.Reset(r.pause(hosts))
+	}
+}
+
+// pause returns the time until the next message.
+func (r *Runner) pause(hosts []Host) time.Duration {
+	switch {
+	case len(hosts) == 0:
+		return firstInterval
+	case placeOf(r.parent) != placeOf(r.node.self):
+		return headInterval
+	default:
+		return interval
 	}
 }
 
+// candidates returns the possible parents, which change with the list of hosts.
+func (r *Runner) candidates(hosts []Host) []Host {
+	if len(hosts) == 0 || len(r.listed) != len(hosts) || &r.listed[0] != &hosts[0] {
+		r.listed, r.parents = hosts, Parents(r.node.self, hosts)
+	}
+	return r.parents
+}
+
 // exchange sends the message to the best parent that answers.
 func (r *Runner) exchange(ctx context.Context, parents []Host) {
 	for _, h := range parents {
@@ -127,18 +147,22 @@
 			continue
 		}
 		if r.call(ctx, h) {
-			r.adopt(h.ID)
+			r.adopt(h)
 			return
 		}
 		if ctx.Err() != nil {
 			return
 		}
 	}
-	r.adopt("")
+	r.adopt(Host{})
 }
 
 func (r *Runner) call(ctx context.Context, h Host) bool {
-	ctx, cancel := context.WithTimeout(ctx, patience)
+	limit := patience
+	if h.Region != r.node.self.Region {
+		limit = farPatience
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	out := r.node.Take(h.ID)
 	known, sent := r.lists.known(), r.lists.Clock()
@@ -193,15 +217,15 @@
 }
 
 // adopt notes the parent and ends the link to the one before.
-func (r *Runner) adopt(id model.HostID) {
-	if id == r.parent {
+func (r *Runner) adopt(h Host) {
+	if h.ID == r.parent.ID {
 		return
 	}
-	if r.parent != "" {
-		r.node.Drop(r.parent)
+	if r.parent.ID != "" {
+		r.node.Drop(r.parent.ID)
 	}
-	r.log.Info().Str("parent", string(id)).Str("before", string(r.parent)).Int("hosts", r.node.Hosts()).Msg("mesh parent changed")
-	r.parent = id
+	r.log.Info().Str("parent", string(h.ID)).Str("before", string(r.parent.ID)).Int("hosts", r.node.Hosts()).Msg("mesh parent changed")
+	r.parent = h
 }
 
 func (r *Runner) isDown(id model.HostID) bool {
@@ -221,52 +245,42 @@
 	r.log.Warn().Err(err).Str("peer", string(id)).Dur("pause", o.pause).Msg("mesh peer does not answer")
 }
 
-// probe counts the hosts of the region that run no daemon, if this host is the
-// region's first: their ports refuse connections. They use nothing of any
-// limit, unlike hosts that are only out of reach.
+// probe counts the hosts that run no daemon although they are listed: their
+// ports refuse connections. They use nothing of any limit, unlike hosts that
+// are only out of reach. The head of a failure domain asks those of its domain,
+// and that of a region's first domain those of the domains without a head.
 func (r *Runner) probe(ctx context.Context, hosts []Host) {
-	if r.parent != "" && r.regionOf(hosts, r.parent) == r.node.self.Region {
-		r.node.Ended(0)
-		return
-	}
 	var wait sync.WaitGroup
-	var mu sync.Mutex
-	ended := 0
+	var ended atomic.Int64
 	for _, h := range hosts {
-		if h.Region != r.node.self.Region || h.ID == r.node.self.ID || r.node.Linked(h.ID) {
+		if h.ID == r.node.self.ID || r.node.Linked(h.ID) || !r.answersFor(placeOf(h), hosts) {
 			continue
 		}
 		wait.Go(func() {
 			if refuses(ctx, h.Address) {
-				mu.Lock()
-				ended++
-				mu.Unlock()
+				ended.Add(1)
 			}
 		})
 	}
 	wait.Wait()
-	r.node.Ended(ended)
+	r.node.Ended(int(ended.Load()))
 }
 
-// siblings returns the number of hosts of this host's region, of which all but
-// one may have the same parent.
-func (r *Runner) siblings(hosts []Host) int {
-	n := 0
-	for _, h := range hosts {
-		if h.Region == r.node.self.Region {
-			n++
-		}
+// answersFor reports whether this host looks after the hosts of a place.
+func (r *Runner) answersFor(p place, hosts []Host) bool {
+	self := placeOf(r.node.self)
+	if p == self {
+		return placeOf(r.parent) != self
+	}
+	if p.region != self.region || r.parent.Region == self.region {
+		return false
 	}
-	return n
-}
-
-func (r *Runner) regionOf(hosts []Host, id model.HostID) model.Region {
 	for _, h := range hosts {
-		if h.ID == id {
-			return h.Region
+		if placeOf(h) == p && r.node.Linked(h.ID) {
+			return false // its head does
 		}
 	}
-	return ""
+	return true
 }
 
 // refuses reports whether a connection is refused at once.
--- a/model/ident.go
+++ b/model/ident.go
@@ -52,6 +52,9 @@
 // Share is a fraction between 0 and 1.
 type Share float64
 
+// Cores is processor capacity, in processor cores.
+type Cores float64
+
 // Millis is a duration in milliseconds.
 type Millis int64
 
