exch: no request that may not be repeated on a connection that was idle for long

Cause: instances of the grown sites forget connections that were idle for 300 ms, and what is sent next is reset; a request that may not be repeated is lost then, and the reset counted as a failure of the target. Besides, 'entry' never ran the exchange's own service, so idle connections were not closed after 8 s and were left to the targets, which close them at 10 s. Change: DoOnce uses no connection that was idle for over 200 ms; a reset after an idle time is no sight of the target's health; 'entry' runs the exchange. Test: exch TestRested (a DoOnce that is Do loses the third request).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -74,6 +74,7 @@
 	hosts    *lists.Hosts
 	limits   *limit.Set
 	node     *mesh.Node
+	exchange *exch.Client
 	proxy    *proxy.Proxy
 	callers  *serve.Standard
 	stopping atomic.Bool
@@ -109,6 +110,8 @@
 	e.node = mesh.NewNode(s.self(), time.Now, e.hear)
 	e.limits = limit.NewSet(limit.Allowance{Ratio: s.Ratio, Reserve: s.Reserve},
 		limit.Tolerance{Window: s.Window, Share: s.Over, Slack: s.Slack}, reports{e.node})
+	e.exchange = exch.New(exch.WithHeaders(e.adapter.Headers()), exch.WithConnect(connectWait), exch.WithIdle(idleTime),
+		exch.WithBuffer(maxAnswer), exch.WithConnections(maxConnections))
 	e.proxy = proxy.New(proxy.Parts{
 		Words:    e.adapter.Callers(),
 		Snapshot: e.holder.Current,
@@ -116,10 +119,9 @@
 		KeyLimit: s.KeyLife - keyMargin,
 		Limiter:  e.limits,
 		Field:    e.field,
-		Exchange: exch.New(exch.WithHeaders(e.adapter.Headers()), exch.WithConnect(connectWait), exch.WithIdle(idleTime),
-			exch.WithBuffer(maxAnswer), exch.WithConnections(maxConnections)),
-		See:   reports{e.node}.see,
-		Moved: reports{e.node}.moved,
+		Exchange: e.exchange,
+		See:      reports{e.node}.see,
+		Moved:    reports{e.node}.moved,
 	}, proxy.WithLog(e.log), proxy.WithMeter(e.meter.Scope()))
 }
 
@@ -148,6 +150,7 @@
 		func() error {
 			return kern.Provide(e.kernel, "mesh", mesh.NewRunner(e.node, relayed, pool, e.hosts.All, mesh.WithLog(e.log)))
 		},
+		func() error { return kern.Provide(e.kernel, "exchange", e.exchange) },
 		func() error { return kern.Provide(e.kernel, "parts", service(e.follow)) },
 		func() error { return kern.Provide(e.kernel, "callers", e.callers) },
 		func() error { return kern.Provide(e.kernel, "ready", e.readiness()) },
--- a/exch/client.go
+++ b/exch/client.go
@@ -25,6 +25,10 @@
 	DefaultConnect = time.Second
 	// DefaultIdle is the time after which an idle connection is closed.
 	DefaultIdle = 30 * time.Second
+	// DefaultRest is the idle time after which a connection takes no request that
+	// may not be repeated: a target may have dropped it without a word, and what
+	// is sent next is lost. Targets of the users drop theirs after 300 ms at times.
+	DefaultRest = 200 * time.Millisecond
 	// DefaultBuffer is the largest response, in bytes, that is read into memory.
 	DefaultBuffer = 1 << 20
 )
@@ -51,6 +55,10 @@
 // WithIdle sets the time after which an idle connection is closed.
 func WithIdle(d time.Duration) Option { return func(c *Client) { c.idle = d } }
 
+// WithRest sets the idle time after which a connection takes no request that may
+// not be repeated.
+func WithRest(d time.Duration) Option { return func(c *Client) { c.rest = d } }
+
 // WithBuffer sets the largest response, in bytes, that is read into memory:
 // those of Do, and those with neither length nor chunking.
 func WithBuffer(n int) Option { return func(c *Client) { c.buffer = n } }
@@ -68,6 +76,7 @@
 	silence     time.Duration
 	connect     time.Duration
 	idle        time.Duration
+	rest        time.Duration
 	buffer      int
 	dial        DialFunc
 	headers     Headers
@@ -85,6 +94,7 @@
 		silence:     DefaultSilence,
 		connect:     DefaultConnect,
 		idle:        DefaultIdle,
+		rest:        DefaultRest,
 		buffer:      DefaultBuffer,
 		headers:     ownHeaders,
 		pools:       make(map[string]*pool),
--- a/exch/exch_test.go
+++ b/exch/exch_test.go
@@ -271,3 +271,49 @@
 		c.Close()
 	})
 }
+
+// TestRested guards against a request that may not be repeated and is lost on a
+// connection that the target dropped while it was idle.
+func TestRested(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scripted{}
+		c := New(WithDial(func(context.Context, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			s.dials.Add(1)
+			go func() {
+				defer func() { _ = far.Close() }()
+				var req fasthttp.Request
+				r := bufio.NewReader(far)
+				for last := time.Now(); req.Read(r) == nil; last = time.Now() {
+					if time.Since(last) > DefaultRest {
+						return // forgotten: what arrives is reset
+					}
+					send(far, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nproof")
+				}
+			}()
+			return near, nil
+		}))
+		defer c.Close()
+		do := func(once bool) Outcome {
+			var resp fasthttp.Response
+			if once {
+				return c.DoOnce(t.Context(), target, newRequest("POST"), &resp)
+			}
+			return c.Do(t.Context(), target, newRequest("GET"), &resp)
+		}
+		test.Eq(t, Whole, do(true).Class)
+		time.Sleep(DefaultRest / 2)
+		test.Eq(t, Whole, do(true).Class)
+		test.Eq(t, 1, s.dials.Load())
+		time.Sleep(2 * DefaultRest)
+		test.Eq(t, Whole, do(true).Class)
+		test.Eq(t, 2, s.dials.Load())
+
+		// A request that may be repeated takes the chance, and shows nothing of
+		// the target's health if it fails.
+		time.Sleep(2 * DefaultRest)
+		out := do(false)
+		test.Eq(t, Unknown, out.Class)
+		test.Eq(t, 2*DefaultRest, out.Rested)
+	})
+}
--- a/exch/exchange.go
+++ b/exch/exchange.go
@@ -39,8 +39,9 @@
 	reader *bufio.Reader      // nil after the end
 	answer *fasthttp.Response // decodes the response; nil after the end
 	start  time.Time
-	until  time.Time // deadline of the response header
-	partly error     // why the request was written only in part
+	until  time.Time     // deadline of the response header
+	partly error         // why the request was written only in part
+	rest   time.Duration // longest idle time of the connection
 	out    Outcome
 	done   func(Outcome)
 }
@@ -62,7 +63,11 @@
 //
 // The header of resp is the target's, without its Connection: close.
 func (c *Client) Stream(ctx context.Context, target *model.Target, req *fasthttp.Request, resp *fasthttp.Response, done func(Outcome)) Outcome {
-	x := &exchange{client: c, ctx: ctx, start: time.Now(), done: done}
+	return c.stream(ctx, target, req, resp, c.idle, done)
+}
+
+func (c *Client) stream(ctx context.Context, target *model.Target, req *fasthttp.Request, resp *fasthttp.Response, rest time.Duration, done func(Outcome)) Outcome {
+	x := &exchange{client: c, ctx: ctx, start: time.Now(), rest: rest, done: done}
 	if err := x.connect(target); err != nil {
 		return x.refuse(err)
 	}
@@ -92,8 +97,18 @@
 // Do is Stream for small responses: it reads the whole body into resp before
 // it returns, and within the deadline.
 func (c *Client) Do(ctx context.Context, target *model.Target, req *fasthttp.Request, resp *fasthttp.Response) Outcome {
+	return c.do(ctx, target, req, resp, c.idle)
+}
+
+// DoOnce is Do for a request that may not be repeated: it uses no connection
+// that was idle for a while.
+func (c *Client) DoOnce(ctx context.Context, target *model.Target, req *fasthttp.Request, resp *fasthttp.Response) Outcome {
+	return c.do(ctx, target, req, resp, c.rest)
+}
+
+func (c *Client) do(ctx context.Context, target *model.Target, req *fasthttp.Request, resp *fasthttp.Response, rest time.Duration) Outcome {
 	var end Outcome
-	out := c.Stream(ctx, target, req, resp, func(o Outcome) { end = o })
+	out := c.stream(ctx, target, req, resp, rest, func(o Outcome) { end = o })
 	if out.Class != Whole || !resp.IsBodyStream() {
 		return end
 	}
@@ -113,11 +128,15 @@
 	if err != nil {
 		return err
 	}
-	x.conn, err = p.get(x.ctx, x.client.limit(target))
-	if err == nil {
-		x.conn.reset()
+	x.conn, err = p.get(x.ctx, x.client.limit(target), x.rest)
+	if err != nil {
+		return err
 	}
-	return err
+	if !x.conn.since.IsZero() {
+		x.out.Rested = time.Since(x.conn.since)
+	}
+	x.conn.reset()
+	return nil
 }
 
 // watch closes the connection when the caller cancels. The deadline is left
--- a/exch/outcome.go
+++ b/exch/outcome.go
@@ -66,6 +66,7 @@
 	Canceled bool          // the caller ended the exchange, which says nothing about the target
 	Stalled  bool          // the body made no progress for the progress deadline
 	Moved    bool          // another target has the address; the request did not run
+	Rested   time.Duration // idle time of the connection before; 0 for a new one
 	Status   int           // status code, 0 without a response header
 	Written  int64         // bytes of the request handed to the connection
 	Received int64         // bytes of the response
--- a/exch/pool.go
+++ b/exch/pool.go
@@ -22,11 +22,11 @@
 	retired bool
 }
 
-// get returns an idle connection that is still open, or a new one. Its errors
-// mean that no byte was written.
-func (p *pool) get(ctx context.Context, limit int) (*conn, error) {
+// get returns a connection that is still open and was idle for less than rest,
+// or a new one. Its errors mean that no byte was written.
+func (p *pool) get(ctx context.Context, limit int, rest time.Duration) (*conn, error) {
 	for {
-		c, err := p.take(limit)
+		c, err := p.take(limit, rest)
 		if err != nil {
 			return nil, err
 		}
@@ -40,17 +40,22 @@
 	}
 }
 
-// take removes an idle connection, or reserves the place of a new one and
-// returns nil.
-func (p *pool) take(limit int) (*conn, error) {
+// take removes the connection that was idle for the shortest time, or reserves
+// the place of a new one and returns nil.
+func (p *pool) take(limit int, rest time.Duration) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if n := len(p.idle); n > 0 {
+	if n := len(p.idle); n > 0 && time.Since(p.idle[n-1].since) < rest {
 		c := p.idle[n-1]
 		p.idle[n-1] = nil
 		p.idle = p.idle[:n-1]
 		return c, nil
 	}
+	if p.open >= limit && len(p.idle) > 0 {
+		_ = p.idle[0].Close() // its place is the new one's
+		p.idle = append(p.idle[:0], p.idle[1:]...)
+		return nil, nil
+	}
 	if p.open >= limit {
 		return nil, fault.New(fault.Limited, "all connections to target "+p.address+" are in use",
 			"choose another target or raise the connection cap")
--- a/proxy/decide.go
+++ b/proxy/decide.go
@@ -55,6 +55,8 @@
 	switch {
 	case out.Canceled:
 		return 0, false
+	case out.Class == exch.Unknown && out.Rested > 0:
+		return 0, false // the target dropped an idle connection
 	case out.Class == exch.NotRun, out.Class == exch.Silent, out.Moved:
 		return grade.Lost, true
 	case out.Class == exch.Shed:
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -45,6 +45,8 @@
 // Exchanger sends one request to one target. Package exch implements it.
 type Exchanger interface {
 	Do(ctx context.Context, t *model.Target, req *fasthttp.Request, resp *fasthttp.Response) exch.Outcome
+	// DoOnce is for requests that may not be repeated.
+	DoOnce(ctx context.Context, t *model.Target, req *fasthttp.Request, resp *fasthttp.Response) exch.Outcome
 }
 
 // Parts are what the proxy brings together.
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -152,7 +152,11 @@
 		f.see(s.target, grade.Slow, -1, &exch.Outcome{Wait: f.slowAfter()})
 	})
 	started := time.Now()
-	s.out = f.proxy.parts.Exchange.Do(f.ctx, &s.target.Target, req, s.resp)
+	do := f.proxy.parts.Exchange.DoOnce
+	if f.repeatable() {
+		do = f.proxy.parts.Exchange.Do
+	}
+	s.out = do(f.ctx, &s.target.Target, req, s.resp)
 	watch.Stop()
 	s.target.End(time.Now())
 	f.proxy.parts.Moved(s.target.ID, 0, 1)
