entry: ready only once the other daemons are known

Cause: TestPath got 429 right after a host said it was ready: its part of the limits was not yet computed, so its new bucket had nothing.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -79,6 +79,7 @@
 	callers  *serve.Standard
 	stopping atomic.Bool
 	ready    atomic.Bool
+	joined   atomic.Bool // the other daemons are known, and with them this one's part of the limits
 }
 
 // Option sets an optional property of an Entry.
--- a/entry/share.go
+++ b/entry/share.go
@@ -102,5 +102,6 @@
 			before = part
 		}
 		e.limits.Part(time.Now(), part)
+		e.joined.Store(true)
 	}
 }
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -41,7 +41,7 @@
 
 // isReady reports whether the balancer should send callers here.
 func (e *Entry) isReady() bool {
-	now := !e.stopping.Load() && e.holder.Current() != nil && len(e.hosts.All()) > 0 && len(e.targets.Set()) > 0 && e.config.Age() < leaveAge
+	now := !e.stopping.Load() && e.holder.Current() != nil && e.joined.Load() && len(e.targets.Set()) > 0 && e.config.Age() < leaveAge
 	if e.ready.Swap(now) != now {
 		e.log.Info().Bool("ready", now).Bool("stopping", e.stopping.Load()).Dur("age", e.config.Age()).
 			Int("pools", len(e.targets.Set())).Msg("readiness changed")
