proxy, conf: repeated sends go to the urgent requests first

The rank of routes and customers was read and never used. Change: requests of a lower rank leave a quarter of the reserve to the most urgent of their pool; the customer's rank goes before the route's. Ruled out: more sends: the users' budget for repeats (0.2 of the requests and 216) allows only every fifth request a second send.

--- a/conf/snapshot.go
+++ b/conf/snapshot.go
@@ -21,7 +21,8 @@
 	keys      map[model.Digest]keyOwner
 	pools     map[model.PoolID]*model.Pool
 	routes    map[routeKey]*model.Route
-	longest   int // length of the longest route prefix in bytes
+	urgent    map[model.PoolID]int // most urgent rank of the pool's routes
+	longest   int                  // length of the longest route prefix in bytes
 }
 
 type keyOwner struct {
@@ -94,6 +95,7 @@
 	s.keys = make(map[model.Digest]keyOwner)
 	s.pools = make(map[model.PoolID]*model.Pool)
 	s.routes = make(map[routeKey]*model.Route)
+	s.urgent = make(map[model.PoolID]int)
 	for _, p := range s.parts {
 		for i := range p.Customers {
 			c := &p.Customers[i]
@@ -109,10 +111,20 @@
 			r := &p.Routes[i]
 			s.routes[routeKey{strings.ToLower(r.Host), r.Prefix}] = r
 			s.longest = max(s.longest, len(r.Prefix))
+			s.rank(r.Pool, r.Rank)
+			for _, part := range r.Split {
+				s.rank(part.Pool, r.Rank)
+			}
 		}
 	}
 }
 
+func (s *Snapshot) rank(id model.PoolID, rank int) {
+	if before, ok := s.urgent[id]; !ok || rank < before {
+		s.urgent[id] = rank
+	}
+}
+
 // Version returns the version of the configuration.
 func (s *Snapshot) Version() model.ConfigVersion { return s.root.Version }
 
@@ -166,6 +178,10 @@
 	return p, ok
 }
 
+// Urgent returns the most urgent rank of the routes to a pool; 0 is the most
+// urgent of all.
+func (s *Snapshot) Urgent(id model.PoolID) int { return s.urgent[id] }
+
 // Route returns the route for a host name (lower case, without port) and a
 // path. Routes of exactly this host come before routes of any host; among
 // them the longest prefix wins. A prefix matches whole path segments: /orders
--- a/proxy/decide.go
+++ b/proxy/decide.go
@@ -68,6 +68,31 @@
 	}
 }
 
+const (
+	// keepRepeat and keepHedge are the parts of the retry reserve that repeats
+	// after a failure, and second sends on suspicion, leave for others.
+	keepRepeat = 0.1
+	keepHedge  = 0.6
+	// keepUrgent is the part that requests of a lower rank leave for the most
+	// urgent ones of their pool: while targets refuse so many that the budget is
+	// used up, the urgent ones are sent again first.
+	keepUrgent = 0.25
+)
+
+// keepOf returns the part of the retry reserve that a repeated send leaves for
+// others. It answers a pool whose targets refuse or fail so many requests that
+// the budget is used up.
+func keepOf(what next, urgent bool) float64 {
+	keep := 0.0
+	if what == repeat {
+		keep = keepRepeat
+	}
+	if !urgent {
+		keep = max(keep, keepUrgent)
+	}
+	return keep
+}
+
 // tries bounds the targets that one request reaches, and those that it is
 // tried at including the ones that could not be reached.
 const (
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -22,10 +22,6 @@
 	// slowShare is the part of the route's objective after which a request
 	// counts as slow. About one in twenty takes that long at a sound target.
 	slowShare = 0.9
-	// keepRepeat and keepHedge are the parts of the retry reserve that repeats
-	// after a failure, and second sends on suspicion, leave for others.
-	keepRepeat = 0.1
-	keepHedge  = 0.6
 )
 
 // send is one exchange of a call.
@@ -229,18 +225,19 @@
 		return nil // loop sees the same
 	}
 	free := s.out.Written == 0
-	if !f.limits().allowed(s.out.NotRun()) || !free && !f.proxy.parts.Limiter.Retry(f.pool, f.keep(what)) {
+	if !f.limits().allowed(s.out.NotRun()) || !free && !f.proxy.parts.Limiter.Retry(f.pool, keepOf(what, f.rank() <= f.snapshot.Urgent(f.pool))) {
 		return f.end()
 	}
 	f.proxy.meter.retries.Inc(1)
 	return f.begin()
 }
 
-func (f *flight) keep(what next) float64 {
-	if what == repeat {
-		return keepRepeat
+// rank returns how urgent the request is; 0 is the most urgent.
+func (c *call) rank() int {
+	if c.customer != nil && c.customer.Rank != nil {
+		return *c.customer.Rank
 	}
-	return 0
+	return c.route.Rank
 }
 
 func (f *flight) limits() limits {
