lists: a host that the store does not answer has no word of its own watch

The store fell silent for the first host of all. Its word of the configuration then came from a child, so that was fresh; its own watch of the targets waited in vain, counted as word, and its region used leaving targets from 17.3 to 24 s (log: 20 hosts listed the leaving target, the 16 of the other region did not). Ruled out: word of the targets that is lost on its way (the child with word was never asked for it), and the pause of up to 0.4 s before hosts ask. Change: an own watch counts as word only while the store answers the host's calls for the configuration. Test: TestSilentReader (fails without the change).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -105,7 +105,7 @@
 	s, kinds := e.settings, e.adapter.Kinds()
 	e.field = place.NewField(place.Site{Region: s.Region, Domain: s.Domain})
 	e.targets = lists.NewTargets(e.client(targetWait), kinds.Targets, e.adapter, func(set lists.Set) { e.field.Update(time.Now(), set) },
-		func() time.Duration { return e.config.Age() }, lists.WithLog(e.log))
+		func() time.Duration { return e.config.Age() }, func() bool { return e.config.Answered() }, lists.WithLog(e.log))
 	e.config = lists.NewConfig(e.client(configWait), kinds.Config, kinds.Current, e.adapter, e.holder, e.targets, lists.WithLog(e.log))
 	e.hosts = lists.NewHosts(e.client(0), s.self(), lists.WithLog(e.log))
 	e.node = mesh.NewNode(s.self(), time.Now, e.hear)
--- a/lists/config.go
+++ b/lists/config.go
@@ -59,6 +59,9 @@
 // Age returns how long ago this daemon certainly knew the newest configuration.
 func (c *Config) Age() time.Duration { return c.age() }
 
+// Answered reports whether the store answered this daemon's last call.
+func (c *Config) Answered() bool { return c.own.Load() }
+
 // gap reports the return of the store if the last word from it is old.
 func (c *Config) gap() {
 	if age := c.age(); age > lapse && age < never {
--- a/lists/follow.go
+++ b/lists/follow.go
@@ -93,6 +93,7 @@
 	proved func()                     // the changes of an answer are applied
 	proof  func() (age time.Duration) // of the newest word from the store
 	may    func() bool                // whether asking the store makes sense now
+	path   func() bool                // whether the store answers this daemon
 
 	mu      sync.Mutex
 	at      store.Version
@@ -119,10 +120,12 @@
 	f := &follow{options: o, source: source, kind: kind, pause: pause, renew: make(chan struct{}, 1),
 		before: func() {}, proved: func() {}, records: make(map[string]record)}
 	f.proof = f.age
-	f.may = func() bool { return true }
+	f.may, f.path = f.always, f.always
 	return f
 }
 
+func (*follow) always() bool { return true }
+
 func (f *follow) run(ctx context.Context) error {
 	f.await(ctx)
 	alone := true // no neighbour kept the list complete when last looked
@@ -313,7 +316,7 @@
 	age := f.proof()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.at == 0 || age >= urgent || f.from != "" && (f.from == to || !f.vouched()) || f.from == "" && !f.own.Load() {
+	if f.at == 0 || age >= urgent || !f.tells(to) {
 		return mesh.Relay{}
 	}
 	// A neighbour that has asked the store itself may know more. It needs nothing
@@ -327,6 +330,15 @@
 	return r
 }
 
+// tells reports whether this daemon has word of the list for a neighbour: the
+// store's, or that of another neighbour. The caller holds the lock.
+func (f *follow) tells(to model.HostID) bool {
+	if f.from == "" {
+		return f.own.Load() && f.path()
+	}
+	return f.from != to && f.vouched()
+}
+
 // Take implements mesh.List.
 func (f *follow) Take(r *mesh.Relay, known store.Version, at time.Duration, from model.HostID) {
 	if r.At == 0 {
--- a/lists/relay_test.go
+++ b/lists/relay_test.go
@@ -16,6 +16,7 @@
 type pair struct {
 	parent, child *Targets
 	age           time.Duration // of the newest word from the store at the parent
+	refused       bool          // the parent by the store
 }
 
 func newPair(t *testing.T) *pair {
@@ -23,8 +24,8 @@
 	p := &pair{}
 	start := time.Now()
 	boot := func() time.Duration { return time.Since(start) + time.Hour }
-	p.parent = NewTargets(newScript(), "targets", plainDecoder{}, func(Set) {}, func() time.Duration { return p.age }, WithBoot(boot))
-	p.child = NewTargets(newScript(), "targets", plainDecoder{}, func(Set) {}, func() time.Duration { return 0 }, WithBoot(boot))
+	p.parent = NewTargets(newScript(), "targets", plainDecoder{}, func(Set) {}, func() time.Duration { return p.age }, func() bool { return !p.refused }, WithBoot(boot))
+	p.child = NewTargets(newScript(), "targets", plainDecoder{}, func(Set) {}, func() time.Duration { return 0 }, func() bool { return true }, WithBoot(boot))
 	return p
 }
 
@@ -195,3 +196,27 @@
 		test.False(t, p.child.own.Load())
 	})
 }
+
+// TestSilentReader guards against a first host whose own watch waits in vain,
+// while its word of the configuration comes from a child: it must have no word of
+// the targets then, and take the child's (hunt of wanjiru-gate, deploy/days
+// parents.toml, seed 891318588075: a region without the store used leaving targets
+// for 7 s, DRAIN).
+func TestSilentReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t)
+		p.parent.First(true)
+		p.learn(5, put("a"), put("b"))
+		p.tell()
+		test.True(t, p.child.relayed())
+		p.refused = true
+		p.tell()
+		test.False(t, p.child.relayed())
+		p.child.answered(6, p.child.boot(), func() { p.child.change([]store.Event{gone("a")}, 6) })
+		r := p.child.Since(p.parent.Known(), "parent")
+		p.parent.Take(&r, p.parent.Known(), p.parent.boot(), "child")
+		test.Eq(t, 1, count(p.parent))
+		other := p.parent.Since(0, "other")
+		test.Eq(t, 6, other.At)
+	})
+}
--- a/lists/targets.go
+++ b/lists/targets.go
@@ -55,11 +55,12 @@
 	gone   time.Duration // boot time at which it is dropped unless it is back; 0: it is there
 }
 
-// NewTargets follows the entries of a kind. It calls notify with each new set, and
-// proof for the age of the newest word that any daemon had from the store.
-func NewTargets(source Watcher, kind store.Kind, d TargetDecoder, notify func(Set), proof func() time.Duration, list ...Option) *Targets {
+// NewTargets follows the entries of a kind. It calls notify with each new set,
+// proof for the age of the newest word that any daemon had from the store, and
+// path for whether the store answers this one: a watch may wait in vain.
+func NewTargets(source Watcher, kind store.Kind, d TargetDecoder, notify func(Set), proof func() time.Duration, path func() bool, list ...Option) *Targets {
 	t := &Targets{follow: newFollow(source, kind, targetPause, collect(list)), decoder: d, notify: notify, entries: make(map[string]*entry)}
-	t.all, t.some, t.proof, t.may = t.replace, t.update, proof, t.answers
+	t.all, t.some, t.proof, t.may, t.path = t.replace, t.update, proof, t.answers, path
 	t.current.Store(&Set{})
 	return t
 }
--- a/lists/targets_test.go
+++ b/lists/targets_test.go
@@ -87,7 +87,7 @@
 	t.Helper()
 	start := time.Now()
 	boot := func() time.Duration { return time.Since(start) + time.Hour }
-	list := NewTargets(s, "targets", plainDecoder{}, func(Set) {}, func() time.Duration { return time.Duration(s.silence.Load()) }, WithBoot(boot))
+	list := NewTargets(s, "targets", plainDecoder{}, func(Set) {}, func() time.Duration { return time.Duration(s.silence.Load()) }, func() bool { return true }, WithBoot(boot))
 	list.First(true) // nobody else asks the store
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(func() { cancel(); synctest.Wait() })
@@ -157,7 +157,7 @@
 		s := newScript("a", "b")
 		start := time.Now()
 		boot := func() time.Duration { return time.Since(start) + time.Hour }
-		list := NewTargets(s, "targets", plainDecoder{}, func(Set) {}, func() time.Duration { return 0 }, WithBoot(boot))
+		list := NewTargets(s, "targets", plainDecoder{}, func(Set) {}, func() time.Duration { return 0 }, func() bool { return true }, WithBoot(boot))
 		list.First(true) // nobody else asks the store
 		ctx, cancel := context.WithCancel(t.Context())
 		defer func() { cancel(); synctest.Wait() }()
