--- a/mesh/node.go
+++ b/mesh/node.go
@@ -11,9 +11,6 @@
 // sends several messages a second.
 const linkLife = 1500 * time.Millisecond
 
-// settling is the time in which a new host gets to know the others.
-const settling = model.Settling
-
 // Node is one host's place in the tree. It holds no connection.
 type Node struct {
 	self  Host
@@ -116,7 +113,7 @@
 	return n.hosts()
 }
 
-// Fresh returns the number of hosts among them that began within settling.
+// Fresh returns the number of hosts among them that began within model.Settling.
 func (n *Node) Fresh() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -125,7 +122,7 @@
 
 func (n *Node) fresh() int {
 	sum := 0
-	if n.clock().Sub(n.begun) < settling {
+	if n.clock().Sub(n.begun) < model.Settling {
 		sum++
 	}
 	for _, l := range n.links {
--- a/mesh/relay.go
+++ b/mesh/relay.go
@@ -55,9 +55,9 @@
 	if len(known) != len(l.All) {
 		return nil // another release, which asks the store itself
 	}
-	out := make([]Relay, len(l.All))
-	for i, list := range l.All {
-		out[i] = list.Since(known[i], to)
+	out := make([]Relay, 0, len(known))
+	for i, version := range known {
+		out = append(out, l.All[i].Since(version, to))
 	}
 	return out
 }
