exch, place, proxy, watch: log what targets announce, and late proof

What callers saw: the users report requests that reached a target which had said that it leaves (DRAIN), configurations that were not in force in time (CONFIG), and targets that got more than they asked for (LIMIT). Nothing in the logs told whether a host knew.

Cause of the gap: exch knew a header for leaving targets, but the adapter named none, and the proxy used neither it nor a limit nor a target's Retry-After. The age of the configuration stood only in the lines of requests.

Change: exch reads the three announcements, but not from another target's 421 nor from a success without signature. The proxy logs each when it is new, and a request sent to a target that had said before that it leaves. watch logs when the proof of the configuration gets older than a relay may be.

--- a/exch/exchange.go
+++ b/exch/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"os"
 	"strconv"
 	"sync"
@@ -192,15 +193,13 @@
 	h := &x.response.Header
 	x.out.Status = h.StatusCode()
 	shed := x.isShed(h)
-	// A target that sheds a request and closes the connection counts as draining too,
-	// except with ShedAnyStatus or after a misdirected request.
-	x.out.Draining = x.hasMarker(h, x.client.headers.Drain) || !x.out.Misdirected && shed && h.ConnectionClose() && !x.client.headers.ShedAnyStatus
 	if x.out.Status == fasthttp.StatusSwitchingProtocols {
 		return x.fail(errors.New("the target switched protocols"))
 	}
 	if reason := x.rejectReason(h); reason != "" && !shed {
 		return x.fail(errors.New(reason))
 	}
+	x.readAnnouncements(h, shed)
 	h.CopyTo(&resp.Header)
 	resp.Header.ResetConnectionClose()
 	x.out.Class = Complete
@@ -252,6 +251,37 @@
 	return h.StatusCode() == fasthttp.StatusServiceUnavailable && x.hasMarker(h, names.Shed)
 }
 
+// readAnnouncements sets what the target announces about itself. Another target that
+// answers at its address says nothing about it.
+func (x *exchange) readAnnouncements(h *fasthttp.ResponseHeader, shed bool) {
+	if x.out.Misdirected {
+		return
+	}
+	names := &x.client.headers
+	// A target that sheds a request and closes the connection counts as draining too,
+	// except with ShedAnyStatus.
+	x.out.Draining = x.hasMarker(h, names.Drain) || shed && h.ConnectionClose() && !names.ShedAnyStatus
+	if rate, ok := peekNumber(h, names.Limit); ok {
+		x.out.Limited, x.out.Limit = true, model.Rate(rate)
+	}
+	if seconds, ok := peekNumber(h, names.RetryAfter); ok && x.out.Status == fasthttp.StatusServiceUnavailable {
+		x.out.RetryAfter = time.Duration(min(seconds, maxRetryAfter.Seconds()) * float64(time.Second))
+	}
+}
+
+// maxRetryAfter bounds the time for which a target is not used after one response.
+const maxRetryAfter = time.Hour
+
+// peekNumber returns the value of a header that holds a number of 0 or more. It
+// returns false for any other value, and if the header is missing or has no name.
+func peekNumber(h *fasthttp.ResponseHeader, name string) (number float64, ok bool) {
+	if name == "" {
+		return 0, false
+	}
+	number, err := strconv.ParseFloat(string(h.Peek(name)), 64)
+	return number, err == nil && number >= 0 && !math.IsInf(number, 1)
+}
+
 func (x *exchange) hasMarker(h *fasthttp.ResponseHeader, name string) bool {
 	return name != "" && string(h.Peek(name)) == "1"
 }
--- a/exch/outcome.go
+++ b/exch/outcome.go
@@ -1,6 +1,10 @@
 package exch
 
-import "time"
+import (
+	"time"
+
+	"rhubarbdrift.example/model"
+)
 
 // Headers that are exchanged with targets.
 const (
@@ -20,7 +24,9 @@
 	Expect        string // request: the id of the intended target; others answer 421 without executing it
 	Shed          string // response: the target did not execute the request
 	ShedAnyStatus bool   // Shed applies to every status and value, not only "1" with status 503
-	Drain         string // response: the target should receive no new requests
+	Drain         string // response: "1" if the target should receive no new requests
+	Limit         string // response: the requests per second that the target accepts from all hosts together
+	RetryAfter    string // response with status 503: the seconds for which the target wants no requests from this host
 	Request       string // request and response: the request id, which the target echoes
 	Signature     string // response: a success without it did not come from the target
 }
@@ -65,6 +71,9 @@
 type Outcome struct {
 	Class         Class
 	Draining      bool          // the target asked for no new requests
+	Limited       bool          // the target named a limit
+	Limit         model.Rate    // the limit for all hosts together, if Limited
+	RetryAfter    time.Duration // time for which the target wants no requests from this host; 0: none named
 	Unframed      bool          // the response had neither a length nor chunks
 	Canceled      bool          // the caller ended the exchange, which is no evidence about the target
 	Stalled       bool          // the response stopped arriving until a read timed out
--- a/place/balancer.go
+++ b/place/balancer.go
@@ -45,6 +45,8 @@
 	// since.
 	load        float64
 	loadUpdated time.Time
+
+	announced announced
 }
 
 // NewBalancer returns a balancer without targets.
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/valyala/fasthttp"
 
 	"rhubarbdrift.example/exch"
@@ -145,6 +146,9 @@
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
 	d.buildRequest(req)
+	if since, leaving := s.target.LeavingFor(time.Now()); leaving {
+		d.proxy.log.Warn().Str("request", d.id).Str("target", string(s.target.ID)).Dur("since", since).Msg("request sent to a target that leaves")
+	}
 	s.target.Begin(time.Now())
 	d.proxy.deps.ReportRequests(s.target.ID, 1, 0)
 	slowTimer := time.AfterFunc(d.slowAfter(), func() {
@@ -160,6 +164,7 @@
 	slowTimer.Stop()
 	s.target.End(time.Now())
 	d.proxy.deps.ReportRequests(s.target.ID, 0, 1)
+	d.recordAnnouncement(s.target, &s.out)
 	load, reported := d.proxy.deps.Protocol.ParseLoad(string(s.targetResp.Header.Peek(d.proxy.deps.Protocol.Load)))
 	if !reported {
 		load = -1
@@ -197,6 +202,27 @@
 	}
 }
 
+// recordAnnouncement records what the target said about itself in its response, and
+// logs what is new.
+func (d *dispatch) recordAnnouncement(t *place.Target, out *exch.Outcome) {
+	if out.Status == 0 || out.Misdirected {
+		return
+	}
+	leaving, limit := t.Announce(time.Now(), place.Announcement{Leaving: out.Draining, Limited: out.Limited, Limit: out.Limit, RetryAfter: out.RetryAfter})
+	log := func(event string) *zerolog.Event {
+		return d.proxy.log.Info().Str("request", d.id).Str("target", string(t.ID)).Int("status", out.Status).Str("announced", event)
+	}
+	if leaving {
+		log("leaves").Bool("listed", t.Leaving).Msg("target announcement")
+	}
+	if limit {
+		log("limit").Bool("limited", out.Limited).Float64("limit", float64(out.Limit)).Msg("target announcement")
+	}
+	if out.RetryAfter > 0 {
+		log("pause").Dur("pause", out.RetryAfter).Msg("target announcement")
+	}
+}
+
 // handleResult processes the end of an exchange. It returns the final response, or
 // nil if there is none yet. A send of which the target received no byte needs no
 // retry budget.
--- a/watch/config.go
+++ b/watch/config.go
@@ -56,7 +56,32 @@
 }
 
 // Run follows the configuration until ctx ends. The error is always nil.
-func (c *ConfigFollower) Run(ctx context.Context) error { return c.run(ctx) }
+func (c *ConfigFollower) Run(ctx context.Context) error {
+	go c.logProof(ctx)
+	return c.run(ctx)
+}
+
+// proofCheckInterval is how often the age of the proof is checked for the log.
+const proofCheckInterval = 100 * time.Millisecond
+
+// logProof logs, until ctx ends, when the proof that the configuration is the newest
+// becomes older than a relay may be, and when it is current again.
+func (c *ConfigFollower) logProof(ctx context.Context) {
+	late := false
+	for ctx.Err() == nil {
+		sleep(ctx, proofCheckInterval)
+		age := c.age()
+		if age == neverCompleteAge || late == (age >= maxRelayAge) {
+			continue
+		}
+		late = !late
+		c.mu.Lock()
+		relayedBy, version := c.relayedBy, c.version
+		c.mu.Unlock()
+		c.log.Info().Bool("late", late).Dur("age", age).Str("relayed_by", string(relayedBy)).Bool("first", c.first.Load()).
+			Bool("store_answers", c.lastCallOK.Load()).Uint64("revision", uint64(version)).Msg("proof of the configuration")
+	}
+}
 
 // Age returns the time since this daemon last had a proof that it knew the newest
 // configuration.
