place, proxy, mesh: a target that says in an answer that it leaves is not used

What callers saw: requests reached a target that had said that it leaves (DRAIN).

Cause: only the list of targets counted. A host that passed on the answer of a leaving target went on sending to it until the list said so: never, where the entry does not say it, and not while the host has no way to the store. One more way was found by reading: an entry that lapses and is listed again made a new target without a past.

Change: a target is left out once it has said to any host that it leaves. The host that passed on the answer is bound at once; the others learn it over the mesh, with the start time of the incarnation, so that a target that starts again under the same id is used. What was said outlives the entry by ten minutes. A host that starts knows nothing of it until an answer or the list says so. If nothing is left of a pool, the request is refused at once as not run.

Why this works: the choice of a target for first sends, repeats, hedges and idle probes goes through one function, and the time between choice and first byte is bounded by connectTimeout, 0.25 s of the 2 s.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -128,6 +128,7 @@
 		Exchange:          e.exchange,
 		ReportObservation: reporter{e.node}.reportExchange,
 		ReportRequests:    reporter{e.node}.reportRequests,
+		ReportLeaving:     reporter{e.node}.reportLeaving,
 	}, proxy.WithLog(e.log), proxy.WithMeter(e.meter.Scope()))
 }
 
--- a/entry/share.go
+++ b/entry/share.go
@@ -51,6 +51,11 @@
 	r.node.Report(func(s *mesh.Sum) { s.AddTarget(id, mesh.TargetCounts{Sent: sent, Ended: ended}) })
 }
 
+// reportLeaving reports that an incarnation of a target said that it leaves.
+func (r reporter) reportLeaving(id model.TargetID, startedAt int64) {
+	r.node.Report(func(s *mesh.Sum) { s.AddTarget(id, mesh.TargetCounts{Leaving: startedAt + 1}) })
+}
+
 // applyReport applies the reports of other daemons. The good observations of a target
 // are added before the others: added last, they would outweigh the failures of a target
 // that just began to fail.
@@ -68,6 +73,9 @@
 			}
 		}
 		e.balancer.AddRemoteRequests(now, id, int(t.Sent), int(t.Ended))
+		if t.Leaving > 0 {
+			e.balancer.AddRemoteLeaving(now, id, t.Leaving-1)
+		}
 		if t.Load > 0 {
 			e.balancer.SetRemoteLoad(now, id, float64(t.Load-1))
 		}
--- a/mesh/sum.go
+++ b/mesh/sum.go
@@ -15,6 +15,9 @@
 	Load  uint32 `cbor:"5,keyasint,omitempty"`
 	Sent  uint32 `cbor:"6,keyasint,omitempty"` // requests sent to the target
 	Ended uint32 `cbor:"7,keyasint,omitempty"` // requests that ended at the target
+	// Leaving is the start time, in Unix milliseconds plus one, of the target's
+	// incarnation that said that it leaves; 0 means that none did.
+	Leaving int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Usage counts requests of a customer or to a pool.
@@ -51,6 +54,7 @@
 	if t.Load > 0 {
 		old.Load = t.Load
 	}
+	old.Leaving = max(old.Leaving, t.Leaving)
 	s.Targets[id] = old
 }
 
--- a/place/announce.go
+++ b/place/announce.go
@@ -21,17 +21,72 @@
 	limit        model.Rate
 }
 
-// Announce records an announcement of the target to this daemon. It returns which of
-// its parts are new.
-func (t *Target) Announce(now time.Time, a Announcement) (leaving, limit bool) {
+// leftMemory is the time for which it is remembered that a target leaves after it was
+// last listed: longer than a target serves after that.
+const leftMemory = 10 * time.Minute
+
+// leftTarget is a target that said that it leaves.
+type leftTarget struct {
+	startedAt  int64 // start time of the incarnation, as in model.Instance
+	lastListed time.Time
+}
+
+// isLeaving reports whether the target must get no new requests, since it is listed as
+// leaving or said so itself. The caller holds the balancer's lock.
+func (t *Target) isLeaving() bool { return t.Leaving || !t.announced.leavingSince.IsZero() }
+
+// recordLeft remembers the listed targets that said that they leave, and forgets those
+// that were last listed long ago. The caller holds b.mu.
+func (b *Balancer) recordLeft(now time.Time) {
+	for id, t := range b.targets {
+		if !t.announced.leavingSince.IsZero() {
+			b.left[id] = leftTarget{startedAt: t.StartedAt, lastListed: now}
+		}
+	}
+	for id, l := range b.left {
+		if now.Sub(l.lastListed) > leftMemory {
+			delete(b.left, id)
+		}
+	}
+}
+
+// restoreLeaving marks a target that is listed again, after it said that it leaves. The
+// caller holds the balancer's lock.
+func (t *Target) restoreLeaving(now time.Time) {
+	if l, ok := t.balancer.left[t.ID]; ok && l.startedAt == t.StartedAt && t.announced.leavingSince.IsZero() {
+		t.announced.leavingSince = now
+	}
+}
+
+// AddRemoteLeaving records that the incarnation of a target that started at startedAt
+// said to another daemon that it leaves.
+func (b *Balancer) AddRemoteLeaving(now time.Time, id model.TargetID, startedAt int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t := b.targets[id]; t != nil && t.StartedAt == startedAt && t.announced.leavingSince.IsZero() {
+		t.announced.leavingSince = now
+	}
+}
+
+// News tells which parts of an announcement are new.
+type News struct {
+	Leaving   bool
+	Listed    bool  // the list says that the target leaves
+	StartedAt int64 // of the incarnation, as in model.Instance
+	Limit     bool
+}
+
+// Announce records an announcement of the target to this daemon.
+func (t *Target) Announce(now time.Time, a Announcement) News {
 	t.balancer.mu.Lock()
 	defer t.balancer.mu.Unlock()
+	news := News{Listed: t.Leaving, StartedAt: t.StartedAt}
 	if a.Leaving && t.announced.leavingSince.IsZero() {
-		t.announced.leavingSince, leaving = now, true
+		t.announced.leavingSince, news.Leaving = now, true
 	}
-	limit = a.Limited != t.announced.limited || a.Limit != t.announced.limit
+	news.Limit = a.Limited != t.announced.limited || a.Limit != t.announced.limit
 	t.announced.limited, t.announced.limit = a.Limited, a.Limit
-	return leaving, limit
+	return news
 }
 
 // LeavingFor returns the time since the target first said that it leaves, and false if
--- a/place/balancer.go
+++ b/place/balancer.go
@@ -21,6 +21,7 @@
 	mu      sync.Mutex
 	targets map[model.TargetID]*Target
 	pools   map[model.PoolID]*pool
+	left    map[model.TargetID]leftTarget
 }
 
 type pool struct {
@@ -51,14 +52,16 @@
 
 // NewBalancer returns a balancer without targets.
 func NewBalancer(l Location) *Balancer {
-	return &Balancer{location: l, targets: make(map[model.TargetID]*Target), pools: make(map[model.PoolID]*pool)}
+	return &Balancer{location: l, targets: make(map[model.TargetID]*Target), pools: make(map[model.PoolID]*pool), left: make(map[model.TargetID]leftTarget)}
 }
 
 // Update replaces the targets of all pools. The state of a target is kept while
-// its start time and address stay the same.
+// its start time and address stay the same. What it said about leaving is also kept
+// while it is not listed.
 func (b *Balancer) Update(now time.Time, instances map[model.PoolID][]*model.Instance) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.recordLeft(now)
 	targets := make(map[model.TargetID]*Target)
 	pools := make(map[model.PoolID]*pool)
 	for id, list := range instances {
@@ -72,6 +75,7 @@
 				t = &Target{balancer: b, firstSeen: now}
 			}
 			t.Instance = *instance
+			t.restoreLeaving(now)
 			targets[instance.ID] = t
 			p.targets = append(p.targets, t)
 		}
@@ -87,7 +91,7 @@
 	n := 0
 	if p := b.pools[id]; p != nil {
 		for _, t := range p.targets {
-			if !t.Leaving {
+			if !t.isLeaving() {
 				n++
 			}
 		}
--- /dev/null
+++ b/proxy/announce_test.go
@@ -0,0 +1,162 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"rhubarbdrift.example/conf"
+	"rhubarbdrift.example/exch"
+	"rhubarbdrift.example/health"
+	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/place"
+)
+
+// announcers are targets whose responses carry headers that the test sets, behind one
+// proxy.
+type announcers struct {
+	balancer  *place.Balancer
+	instances []*model.Instance
+	url       string
+
+	mu       sync.Mutex
+	headers  map[model.TargetID]http.Header // response headers; a target with Shed refuses
+	arrivals map[model.TargetID]int
+}
+
+func newAnnouncers(t *testing.T, ids ...model.TargetID) *announcers {
+	t.Helper()
+	a := &announcers{balancer: place.NewBalancer(place.Location{Region: "r", Domain: "d"}),
+		headers: make(map[model.TargetID]http.Header), arrivals: make(map[model.TargetID]int)}
+	for _, id := range ids {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { a.answer(id, w, r) }))
+		t.Cleanup(server.Close)
+		a.instances = append(a.instances, &model.Instance{Pool: "p", StartedAt: 1000,
+			Target: model.Target{ID: id, Address: strings.TrimPrefix(server.URL, "http://"), Region: "r", Domain: "d", Slots: 4}})
+	}
+	a.list(a.instances...)
+	holder := conf.NewHolder()
+	holder.Install(conf.NewSnapshot(1, &model.Intent{Pools: []model.Pool{{ID: "p"}},
+		Routes: []model.Route{{ID: "open", Host: "127.0.0.1", Prefix: "/", Pool: "p", Repeat: model.RepeatAlways, Deadline: 2000, Open: true}}}))
+	p := New(Dependencies{
+		Protocol: protocol, Snapshot: holder.Current, MaxKeyAge: time.Hour, ConfigAge: func() time.Duration { return 0 }, Limiter: unlimited{}, Balancer: a.balancer,
+		Exchange: exch.New(exch.WithHeaders(exch.Headers{Deadline: "Deadline", Expect: "Expected", Shed: "Shed", ShedAnyStatus: true, Request: "Request", Signature: "Signature",
+			Drain: "Leaving", Limit: "Limit", RetryAfter: "Retry-After"})),
+		ReportObservation: func(model.TargetID, health.Observation, float64) {},
+		ReportRequests:    func(model.TargetID, uint32, uint32) {},
+		ReportLeaving:     func(model.TargetID, int64) {},
+	})
+	server := httptest.NewServer(p)
+	t.Cleanup(server.Close)
+	a.url = server.URL
+	return a
+}
+
+// list replaces the list of targets.
+func (a *announcers) list(instances ...*model.Instance) {
+	a.balancer.Update(time.Now(), map[model.PoolID][]*model.Instance{"p": instances})
+}
+
+func (a *announcers) answer(id model.TargetID, w http.ResponseWriter, r *http.Request) {
+	a.mu.Lock()
+	a.arrivals[id]++
+	for name, values := range a.headers[id] {
+		w.Header()[name] = values
+	}
+	a.mu.Unlock()
+	w.Header().Set("Request", r.Header.Get("Request"))
+	if w.Header().Get("Shed") != "" {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Signature", "s")
+}
+
+// announce sets a response header of a target.
+func (a *announcers) announce(id model.TargetID, name, value string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.headers[id] == nil {
+		a.headers[id] = make(http.Header)
+	}
+	a.headers[id].Set(name, value)
+}
+
+// takeArrivals returns and clears the number of requests that reached a target.
+func (a *announcers) takeArrivals(id model.TargetID) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := a.arrivals[id]
+	a.arrivals[id] = 0
+	return n
+}
+
+// send sends requests one after another and returns the status and headers of the last
+// response.
+func (a *announcers) send(t *testing.T, count int) (status int, header http.Header) {
+	t.Helper()
+	for n := range count {
+		req, err := http.NewRequestWithContext(context.Background(), http.MethodGet, a.url+"/", nil)
+		must.NoError(t, err)
+		req.Header.Set("Request", fmt.Sprint(n))
+		resp, err := http.DefaultClient.Do(req)
+		must.NoError(t, err)
+		must.NoError(t, resp.Body.Close())
+		status, header = resp.StatusCode, resp.Header
+	}
+	return status, header
+}
+
+// sendUntilUsed sends requests until one has reached the target.
+func (a *announcers) sendUntilUsed(t *testing.T, id model.TargetID) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		if a.send(t, 1); a.takeArrivals(id) > 0 {
+			return
+		}
+	}
+	t.Fatalf("no request reached target %s", id)
+}
+
+// TestSentToLeavingTarget guards against requests to a target that said in an answer
+// that it leaves, while the list of targets does not say so or loses the entry.
+func TestSentToLeavingTarget(t *testing.T) {
+	a := newAnnouncers(t, "one", "two")
+	a.announce("one", "Leaving", "1")
+	a.sendUntilUsed(t, "one")
+	status, _ := a.send(t, 40)
+	test.Eq(t, http.StatusOK, status)
+	test.Eq(t, 0, a.takeArrivals("one"))
+
+	a.list(a.instances[1]) // the entry lapses and is renewed
+	a.list(a.instances...)
+	a.send(t, 40)
+	test.Eq(t, 0, a.takeArrivals("one"))
+
+	restarted := *a.instances[0]
+	restarted.StartedAt++
+	a.announce("one", "Leaving", "0")
+	a.list(&restarted, a.instances[1])
+	a.sendUntilUsed(t, "one")
+}
+
+// TestHeldForLeavingPool guards against a request that waits, or is not refused as
+// certainly not run, although all targets have said that they leave.
+func TestHeldForLeavingPool(t *testing.T) {
+	a := newAnnouncers(t, "one")
+	a.announce("one", "Leaving", "1")
+	a.sendUntilUsed(t, "one")
+	started := time.Now()
+	status, header := a.send(t, 1)
+	test.Eq(t, http.StatusServiceUnavailable, status)
+	test.NotEq(t, "", header.Get("Retry-After"))
+	test.Less(t, 500*time.Millisecond, time.Since(started))
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -67,6 +67,9 @@
 	ReportObservation func(id model.TargetID, s health.Observation, load float64)
 	// ReportRequests reports to them the numbers of requests sent to a target and ended there.
 	ReportRequests func(id model.TargetID, sent, ended uint32)
+	// ReportLeaving reports to them that the incarnation of a target that started at
+	// startedAt, in Unix milliseconds, said that it leaves.
+	ReportLeaving func(id model.TargetID, startedAt int64)
 }
 
 // Proxy is the HTTP handler of callers' requests.
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -118,6 +118,7 @@
 		Exchange:          exch.New(exch.WithHeaders(exch.Headers{Deadline: "Deadline", Expect: "Expect", Shed: "Shed", ShedAnyStatus: true, Request: "Request", Signature: "Signature"})),
 		ReportObservation: func(model.TargetID, health.Observation, float64) {},
 		ReportRequests:    func(model.TargetID, uint32, uint32) {},
+		ReportLeaving:     func(model.TargetID, int64) {},
 	})
 	server := httptest.NewServer(p)
 	t.Cleanup(server.Close)
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -208,14 +208,15 @@
 	if out.Status == 0 || out.Misdirected {
 		return
 	}
-	leaving, limit := t.Announce(time.Now(), place.Announcement{Leaving: out.Draining, Limited: out.Limited, Limit: out.Limit, RetryAfter: out.RetryAfter})
+	news := t.Announce(time.Now(), place.Announcement{Leaving: out.Draining, Limited: out.Limited, Limit: out.Limit, RetryAfter: out.RetryAfter})
 	log := func(event string) *zerolog.Event {
 		return d.proxy.log.Info().Str("request", d.id).Str("target", string(t.ID)).Int("status", out.Status).Str("announced", event)
 	}
-	if leaving {
-		log("leaves").Bool("listed", t.Leaving).Msg("target announcement")
+	if news.Leaving {
+		d.proxy.deps.ReportLeaving(t.ID, news.StartedAt)
+		log("leaves").Bool("listed", news.Listed).Msg("target announcement")
 	}
-	if limit {
+	if news.Limit {
 		log("limit").Bool("limited", out.Limited).Float64("limit", float64(out.Limit)).Msg("target announcement")
 	}
 	if out.RetryAfter > 0 {
