place, proxy: a target's Retry-After is obeyed

Cause: the header was not read. A refusal only raised the estimate of the target's load for about a second, so that another target was cheaper, where there was one.

Change: the target is left out for the time named. This is a matter of one target and one host, so it is not shared. If all targets of a pool want a pause or leave, the request is refused at once as not run. Retry-After of such refusals is the time until the first target is free again or the usual time of a request, spread by half of it; the most urgent requests of a pool get the shorter half.

--- a/place/announce.go
+++ b/place/announce.go
@@ -17,6 +17,7 @@
 // announced is what a target has said about itself so far.
 type announced struct {
 	leavingSince time.Time // when it first said that it leaves; zero: it has not
+	pausedUntil  time.Time // until when it wants no requests from this daemon
 	limited      bool
 	limit        model.Rate
 }
@@ -35,6 +36,28 @@
 // leaving or said so itself. The caller holds the balancer's lock.
 func (t *Target) isLeaving() bool { return t.Leaving || !t.announced.leavingSince.IsZero() }
 
+// acceptsRequests reports whether the target neither leaves nor wants a pause. The
+// caller holds the balancer's lock.
+func (t *Target) acceptsRequests(now time.Time) bool {
+	return !t.isLeaving() && !now.Before(t.announced.pausedUntil)
+}
+
+// PauseLeft returns the time until one of the targets of the pool that want a pause
+// takes requests again, or 0 if there is none.
+func (b *Balancer) PauseLeft(now time.Time, id model.PoolID) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	left := time.Duration(0)
+	if p := b.pools[id]; p != nil {
+		for _, t := range p.targets {
+			if pause := t.announced.pausedUntil.Sub(now); !t.isLeaving() && pause > 0 && (left == 0 || pause < left) {
+				left = pause
+			}
+		}
+	}
+	return left
+}
+
 // recordLeft remembers the listed targets that said that they leave, and forgets those
 // that were last listed long ago. The caller holds b.mu.
 func (b *Balancer) recordLeft(now time.Time) {
@@ -84,6 +107,9 @@
 	if a.Leaving && t.announced.leavingSince.IsZero() {
 		t.announced.leavingSince, news.Leaving = now, true
 	}
+	if until := now.Add(a.RetryAfter); until.After(t.announced.pausedUntil) {
+		t.announced.pausedUntil = until
+	}
 	news.Limit = a.Limited != t.announced.limited || a.Limit != t.announced.limit
 	t.announced.limited, t.announced.limit = a.Limited, a.Limit
 	return news
--- a/place/choose.go
+++ b/place/choose.go
@@ -66,7 +66,7 @@
 
 // Choose returns the candidate with the lowest expected cost, or now and then an idle
 // target, and false if the pool has none. Candidates are random targets that are not
-// leaving, by the list or their own word, and were not tried. The function random returns a random number in [0, n)
+// leaving, by the list or their own word, want no pause, and were not tried. The function random returns a random number in [0, n)
 // for its argument n.
 func (b *Balancer) Choose(now time.Time, r Request, random func(int) int) (*Target, bool) {
 	b.mu.Lock()
@@ -78,7 +78,7 @@
 	var local, remote []*Target
 	for _, t := range p.targets {
 		switch {
-		case t.isLeaving() || slices.Contains(r.Tried, t.ID):
+		case !t.acceptsRequests(now) || slices.Contains(r.Tried, t.ID):
 		case t.Region == b.location.Region:
 			local = append(local, t)
 		default:
--- a/proxy/announce_test.go
+++ b/proxy/announce_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -160,3 +161,27 @@
 	test.NotEq(t, "", header.Get("Retry-After"))
 	test.Less(t, 500*time.Millisecond, time.Since(started))
 }
+
+// TestSentToPausingTarget guards against requests to a target within the Retry-After of
+// its 503, against requests that wait for the end of the pause, and against a target that
+// stays unused afterwards.
+func TestSentToPausingTarget(t *testing.T) {
+	const pause = time.Second
+	a := newAnnouncers(t, "one")
+	a.announce("one", "Shed", "1")
+	a.announce("one", "Retry-After", "1")
+	before := time.Now() // of the target's answer
+	a.sendUntilUsed(t, "one")
+	for asked := time.Now(); time.Since(asked) < pause-100*time.Millisecond; {
+		started := time.Now()
+		status, header := a.send(t, 1)
+		test.Eq(t, http.StatusServiceUnavailable, status)
+		wait, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+		must.NoError(t, err)
+		test.Between(t, (pause - time.Since(before)).Seconds(), wait, 2*pause.Seconds())
+		test.Less(t, 500*time.Millisecond, time.Since(started))
+		time.Sleep(10 * time.Millisecond)
+	}
+	test.Eq(t, 0, a.takeArrivals("one"))
+	a.sendUntilUsed(t, "one")
+}
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -111,7 +111,7 @@
 		if d.fallback != nil || d.mayHaveRun {
 			return d.finish()
 		}
-		return refusal(refuse.New(refuse.KindBusy, refuse.NotRun, "no target of the pool takes requests", "retry later"), d.usualTime())
+		return refusal(refuse.New(refuse.KindBusy, refuse.NotRun, "no target of the pool takes requests", "retry later"), d.returnDelay())
 	}
 	d.tried = append(d.tried, t.ID)
 	d.inFlight++
@@ -132,6 +132,22 @@
 
 func (d *dispatch) usualTime() time.Duration { return time.Duration(d.seconds * float64(time.Second)) }
 
+// returnDelay returns the Retry-After of a request that the pool's targets can't serve
+// now: about the time until a slot or the first target that wants a pause is free. It
+// is spread, so that callers don't return all at once, and shorter for the most urgent
+// requests, so that these return first.
+func (d *dispatch) returnDelay() time.Duration {
+	earliest := max(d.usualTime(), d.proxy.deps.Balancer.PauseLeft(time.Now(), d.pool))
+	spread := time.Duration(rand.Int64N(int64(earliest)/2 + 1))
+	if d.urgent() {
+		return earliest + spread
+	}
+	return earliest + earliest/2 + spread
+}
+
+// urgent reports whether the request is of the most urgent rank of its pool.
+func (d *dispatch) urgent() bool { return d.rank() <= d.snapshot.MinRank(d.pool) }
+
 func (d *dispatch) slowAfter() time.Duration {
 	if d.route.Objective > 0 {
 		return time.Duration(slowShare * float64(d.route.Objective.Duration()))
@@ -258,7 +274,7 @@
 		return nil // loop handles the end of the context
 	}
 	unsent := s.out.Written == 0
-	if !d.sendLimits().allowed(s.out.NotRun()) || !unsent && !d.proxy.deps.Limiter.Retry(d.pool, retryReserve(next, d.rank() <= d.snapshot.MinRank(d.pool))) {
+	if !d.sendLimits().allowed(s.out.NotRun()) || !unsent && !d.proxy.deps.Limiter.Retry(d.pool, retryReserve(next, d.urgent())) {
 		return d.finish()
 	}
 	d.proxy.metrics.retries.Inc(1)
@@ -313,7 +329,7 @@
 	case d.mayHaveRun:
 		return refusal(refuse.New(refuse.KindTarget, refuse.Unknown, "the target's answer was lost", "ask for the state before sending the request again"), 0)
 	case d.refused:
-		return refusal(refuse.New(refuse.KindBusy, refuse.NotRun, "the targets have no free slots", "retry later"), d.usualTime())
+		return refusal(refuse.New(refuse.KindBusy, refuse.NotRun, "the targets have no free slots", "retry later"), d.returnDelay())
 	default:
 		return refusal(refuse.New(refuse.KindBusy, refuse.NotRun, "no target could be reached", "retry later"), shortRetryDelay)
 	}
