limit, place, mesh, proxy: the fleet keeps the limits that targets name

What callers saw: a target got far more requests than the limit that it had named (LIMIT).

Cause: the header was not read, and nothing in the fleet keeps a sum for a target. The share that a target gets follows from its cost alone, and a target in need is cheap: it has few requests.

Change: - Who owns the sum: every host keeps the same account for each target that names a limit. It fills with the limit, at most half a second of it and one request are saved up, and the sends of all hosts are subtracted, the others' when the mesh brings them. - Age: the reports of the others are 0.1 to 0.6 s old. In this time hosts don't see each other's sends, so each admits with the probability limit / demand, raised or lowered by the level of the account. The demand is reported as well, and is at least what the pool's requests may turn into when the target becomes the best one. - A host that is cut off uses the share of the limit that matches the share of the fleet that it reaches, alone 1/N; a host that starts uses none of any limit before it knows the hosts, and learns of limits with the next answer that any host passes on, with an empty account. - The limit ends with the first answer to a later request that names none. - What is over goes to other targets. If none is left, the request is refused at once as not run. Of a limit, four fifths are for the most urgent requests of the pool, and the others get the rest and what those leave. Targets without a limit are compared as before; one with a limit is asked if it is better.

Why this works: a send that was too early is missing in all accounts, so the rate holds in the long run, and the probability bounds what happens within the age of the reports.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,6 +15,7 @@
 	"rhubarbdrift.example/limit"
 	"rhubarbdrift.example/mesh"
 	"rhubarbdrift.example/meter"
+	"rhubarbdrift.example/model"
 	"rhubarbdrift.example/place"
 	"rhubarbdrift.example/proxy"
 	"rhubarbdrift.example/serve"
@@ -108,7 +109,9 @@
 // build creates the components and connects them.
 func (e *Entry) build() {
 	s, names := e.settings, e.adapter.ObjectNames()
-	e.balancer = place.NewBalancer(place.Location{Region: s.Region, Domain: s.Domain})
+	e.balancer = place.NewBalancer(place.Location{Region: s.Region, Domain: s.Domain}, place.WithDemandReport(func(id model.TargetID, urgent bool) {
+		reporter{e.node}.reportDemand(id, urgent)
+	}))
 	e.targets = watch.NewTargets(e.client(targetWait), names.Targets, e.adapter, func(set watch.TargetSet) { e.balancer.Update(time.Now(), set) },
 		func() time.Duration { return e.config.Age() }, func() bool { return e.config.StoreAnswers() }, watch.WithLog(e.log))
 	e.config = watch.NewConfigFollower(e.client(configWait), names.Config, names.ConfigName, e.adapter, e.holder, e.targets, watch.WithLog(e.log))
@@ -129,6 +132,7 @@
 		ReportObservation: reporter{e.node}.reportExchange,
 		ReportRequests:    reporter{e.node}.reportRequests,
 		ReportLeaving:     reporter{e.node}.reportLeaving,
+		ReportLimit:       reporter{e.node}.reportLimit,
 	}, proxy.WithLog(e.log), proxy.WithMeter(e.meter.Scope()))
 }
 
--- a/entry/share.go
+++ b/entry/share.go
@@ -56,6 +56,20 @@
 	r.node.Report(func(s *mesh.Sum) { s.AddTarget(id, mesh.TargetCounts{Leaving: startedAt + 1}) })
 }
 
+// reportDemand reports a request that would have used a target with a limit.
+func (r reporter) reportDemand(id model.TargetID, urgent bool) {
+	t := mesh.TargetCounts{WantedOther: 1}
+	if urgent {
+		t = mesh.TargetCounts{WantedUrgent: 1}
+	}
+	r.node.Report(func(s *mesh.Sum) { s.AddTarget(id, t) })
+}
+
+// reportLimit reports the limit that a target named, or that it names none any more.
+func (r reporter) reportLimit(id model.TargetID, limited bool, rate model.Rate) {
+	r.node.Report(func(s *mesh.Sum) { s.AddTarget(id, mesh.TargetCounts{Limit: mesh.EncodeLimit(limited, rate)}) })
+}
+
 // applyReport applies the reports of other daemons. The good observations of a target
 // are added before the others: added last, they would outweigh the failures of a target
 // that just began to fail.
@@ -72,7 +86,11 @@
 				e.balancer.AddRemoteObservation(now, observation)
 			}
 		}
+		if rate, limited, known := t.NamedLimit(); known {
+			e.balancer.SetRemoteLimit(now, id, limited, rate)
+		}
 		e.balancer.AddRemoteRequests(now, id, int(t.Sent), int(t.Ended))
+		e.balancer.AddRemoteDemand(now, id, limit.Demand{Urgent: float64(t.WantedUrgent), Other: float64(t.WantedOther)})
 		if t.Leaving > 0 {
 			e.balancer.AddRemoteLeaving(now, id, t.Leaving-1)
 		}
@@ -98,6 +116,7 @@
 	t := time.NewTicker(shareInterval)
 	defer t.Stop()
 	previous := 0.0
+	e.balancer.SetFleetShare(time.Now(), 0)
 	e.limits.SetReachable(time.Now(), limit.Reachable{}) // nothing is admitted before the list of daemons is known
 	for {
 		select {
@@ -114,6 +133,7 @@
 			e.log.Info().Float64("part", share).Int("known", known).Msg("part of the fleet heard changed")
 			previous = share
 		}
+		e.balancer.SetFleetShare(time.Now(), share)
 		e.limits.SetReachable(time.Now(), limit.Reachable{Share: share, NewShare: min(1, float64(e.node.CountNew())/float64(known))})
 		e.shareKnown.Store(true)
 	}
--- a/mesh/sum.go
+++ b/mesh/sum.go
@@ -1,6 +1,8 @@
 package mesh
 
 import (
+	"math"
+
 	"rhubarbdrift.example/model"
 )
 
@@ -18,6 +20,39 @@
 	// Leaving is the start time, in Unix milliseconds plus one, of the target's
 	// incarnation that said that it leaves; 0 means that none did.
 	Leaving int64 `cbor:"8,keyasint,omitempty"`
+	// Limit is the latest limit that the target named, in thousandths of a request per
+	// second plus limitOffset; noLimit means that it names none any more, 0 that nothing
+	// is reported.
+	Limit uint32 `cbor:"9,keyasint,omitempty"`
+	// WantedUrgent and WantedOther count the requests that would have used the target
+	// while it has a limit, whether admitted or not: the most urgent ones and the others.
+	WantedUrgent uint32 `cbor:"10,keyasint,omitempty"`
+	WantedOther  uint32 `cbor:"11,keyasint,omitempty"`
+}
+
+// Values of TargetCounts.Limit.
+const (
+	noLimit     = 1
+	limitOffset = 2
+	maxLimit    = 1 << 20 // requests per second; a higher limit does not limit anything
+)
+
+// EncodeLimit returns the value of TargetCounts.Limit for a limit, or for none if limited
+// is false.
+func EncodeLimit(limited bool, rate model.Rate) uint32 {
+	if !limited {
+		return noLimit
+	}
+	return limitOffset + uint32(math.Round(1000*min(float64(rate), maxLimit)))
+}
+
+// NamedLimit returns the reported limit. Known is false if there is no report, and
+// limited if the target names no limit any more.
+func (t *TargetCounts) NamedLimit() (rate model.Rate, limited, known bool) {
+	if t.Limit < limitOffset {
+		return 0, false, t.Limit == noLimit
+	}
+	return model.Rate(float64(t.Limit-limitOffset) / 1000), true, true
 }
 
 // Usage counts requests of a customer or to a pool.
@@ -39,7 +74,7 @@
 	Pools     map[model.PoolID]Usage          `cbor:"4,keyasint,omitempty"`
 }
 
-// AddTarget adds counts of a target. A known load replaces the previous one.
+// AddTarget adds counts of a target. A known load or limit replaces the previous one.
 func (s *Sum) AddTarget(id model.TargetID, t TargetCounts) {
 	if s.Targets == nil {
 		s.Targets = make(map[model.TargetID]TargetCounts)
@@ -55,6 +90,11 @@
 		old.Load = t.Load
 	}
 	old.Leaving = max(old.Leaving, t.Leaving)
+	old.WantedUrgent += t.WantedUrgent
+	old.WantedOther += t.WantedOther
+	if t.Limit > 0 {
+		old.Limit = t.Limit
+	}
 	s.Targets[id] = old
 }
 
--- a/place/announce.go
+++ b/place/announce.go
@@ -1,8 +1,10 @@
 package place
 
 import (
+	"math"
 	"time"
 
+	"rhubarbdrift.example/limit"
 	"rhubarbdrift.example/model"
 )
 
@@ -12,14 +14,16 @@
 	Limited    bool          // it names a limit
 	Limit      model.Rate    // the limit for all daemons together, if Limited
 	RetryAfter time.Duration // time for which it wants no requests from this daemon; 0: none
+	SentAt     time.Time     // when the request was sent
 }
 
 // announced is what a target has said about itself so far.
 type announced struct {
-	leavingSince time.Time // when it first said that it leaves; zero: it has not
-	pausedUntil  time.Time // until when it wants no requests from this daemon
-	limited      bool
+	leavingSince time.Time    // when it first said that it leaves; zero: it has not
+	pausedUntil  time.Time    // until when it wants no requests from this daemon
+	pacer        *limit.Pacer // of the limit that it named; nil: none
 	limit        model.Rate
+	limitSince   time.Time // when this daemon learned of the limit
 }
 
 // leftMemory is the time for which it is remembered that a target leaves after it was
@@ -96,7 +100,7 @@
 	Leaving   bool
 	Listed    bool  // the list says that the target leaves
 	StartedAt int64 // of the incarnation, as in model.Instance
-	Limit     bool
+	Limit     bool  // a limit, another one, or none any more
 }
 
 // Announce records an announcement of the target to this daemon.
@@ -110,11 +114,80 @@
 	if until := now.Add(a.RetryAfter); until.After(t.announced.pausedUntil) {
 		t.announced.pausedUntil = until
 	}
-	news.Limit = a.Limited != t.announced.limited || a.Limit != t.announced.limit
-	t.announced.limited, t.announced.limit = a.Limited, a.Limit
+	switch {
+	case a.Limited:
+		news.Limit = t.setLimit(now, a.Limit)
+	case t.announced.pacer != nil && a.SentAt.After(t.announced.limitSince):
+		// An answer to an earlier request may be older than the limit.
+		news.Limit = true
+		t.announced.pacer = nil
+	}
 	return news
 }
 
+// limitPrecision is the difference, in requests per second, up to which two limits are
+// the same: reports hold thousandths.
+const limitPrecision = 0.001
+
+// setLimit sets the limit that the target named, and reports whether it is another one
+// than before. The caller holds the balancer's lock.
+func (t *Target) setLimit(now time.Time, rate model.Rate) (changed bool) {
+	known := &t.announced
+	switch {
+	case known.pacer == nil:
+		known.pacer = limit.NewPacer(now, float64(rate), t.balancer.fleetShare)
+		known.limitSince = now
+	case math.Abs(float64(known.limit-rate)) > limitPrecision:
+		known.pacer.SetRate(now, float64(rate))
+	default:
+		return false
+	}
+	known.limit = rate
+	return true
+}
+
+// SetRemoteLimit sets the limit that a target named to another daemon; limited is false
+// if it names none any more.
+func (b *Balancer) SetRemoteLimit(now time.Time, id model.TargetID, limited bool, rate model.Rate) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.targets[id]
+	if t == nil {
+		return
+	}
+	if !limited {
+		t.announced.pacer = nil
+		return
+	}
+	t.setLimit(now, rate)
+}
+
+// AddRemoteDemand counts requests of other daemons that would have used a target with a
+// limit.
+func (b *Balancer) AddRemoteDemand(now time.Time, id model.TargetID, wanted limit.Demand) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t := b.targets[id]; t != nil && t.announced.pacer != nil {
+		t.announced.pacer.AddRemote(now, 0, wanted)
+	}
+}
+
+// SetFleetShare sets the share of the fleet that is reachable from this daemon, from 0
+// to 1. It uses that share of the targets' limits.
+func (b *Balancer) SetFleetShare(now time.Time, share float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if share == b.fleetShare {
+		return
+	}
+	b.fleetShare = share
+	for _, t := range b.targets {
+		if t.announced.pacer != nil {
+			t.announced.pacer.SetFleetShare(now, share)
+		}
+	}
+}
+
 // LeavingFor returns the time since the target first said that it leaves, and false if
 // it has not.
 func (t *Target) LeavingFor(now time.Time) (time.Duration, bool) {
--- a/place/announce_test.go
+++ b/place/announce_test.go
@@ -47,3 +47,44 @@
 	b.Update(now.Add(leftMemory+time.Second), nil)
 	test.MapLen(t, 0, b.left)
 }
+
+// TestLimitEnds guards against a limit that outlives the target's word, and against an
+// answer from before the limit that ends it.
+func TestLimitEnds(t *testing.T) {
+	now := time.Unix(0, 0)
+	b, target := newAnnouncing(t, now)
+	limited := func() bool { return target.announced.pacer != nil }
+	b.SetRemoteLimit(now, "a", true, 5)
+	test.True(t, limited())
+	news := target.Announce(now.Add(time.Second), Announcement{SentAt: now.Add(-time.Second)})
+	test.False(t, news.Limit)
+	test.True(t, limited())
+	news = target.Announce(now.Add(time.Second), Announcement{SentAt: now.Add(time.Millisecond)})
+	test.True(t, news.Limit)
+	test.False(t, limited())
+	b.SetRemoteLimit(now, "a", true, 5)
+	b.SetRemoteLimit(now, "a", false, 0)
+	test.False(t, limited())
+}
+
+// TestCutHostUsesAll guards against a host that uses the whole limit of a target while it
+// reaches no other host, or does not know yet which hosts there are.
+func TestCutHostUsesAll(t *testing.T) {
+	const limit, hosts = 5.0, 40.0
+	now := time.Unix(0, 0)
+	b, _ := newAnnouncing(t, now)
+	b.SetRemoteLimit(now, "a", true, limit)
+	uses := func(share float64) (used float64) {
+		b.SetFleetShare(now, share)
+		for range 4000 { // 400 s
+			now = now.Add(100 * time.Millisecond)
+			if _, ok := b.Choose(now, Request{Pool: "p", Urgent: true}, rand.IntN); ok {
+				used++
+			}
+		}
+		return used / 400
+	}
+	test.Eq(t, 0, uses(0))
+	test.Between(t, limit/hosts/2, uses(1/hosts), limit/hosts*1.2)
+	test.Between(t, limit/2, uses(1), limit*1.2)
+}
--- a/place/balancer.go
+++ b/place/balancer.go
@@ -1,10 +1,12 @@
 package place
 
 import (
+	"math"
 	"sync"
 	"time"
 
 	"rhubarbdrift.example/health"
+	"rhubarbdrift.example/limit"
 	"rhubarbdrift.example/model"
 )
 
@@ -22,11 +24,52 @@
 	targets map[model.TargetID]*Target
 	pools   map[model.PoolID]*pool
 	left    map[model.TargetID]leftTarget
+	// fleetShare is the share of the fleet that is reachable from this daemon, and so the
+	// share of targets' limits that it uses.
+	fleetShare   float64
+	reportDemand DemandReport
+}
+
+// DemandReport reports to the other daemons that a request of this one would have used a
+// target with a limit, or uses it.
+type DemandReport func(id model.TargetID, urgent bool)
+
+// Option sets an optional property of a Balancer.
+type Option func(*Balancer)
+
+// WithDemandReport sets the function that reports the demand on targets with a limit.
+func WithDemandReport(report DemandReport) Option {
+	return func(b *Balancer) { b.reportDemand = report }
 }
 
 type pool struct {
 	targets  []*Target
 	baseline health.Baseline
+	requests requestRate
+}
+
+// requestRate is an average of the requests per second that all reachable daemons send.
+type requestRate struct {
+	perSecond float64
+	updated   time.Time
+}
+
+// requestRateTime is the time constant of a requestRate.
+const requestRateTime = 2 * time.Second
+
+// requestRate returns the requests per second to the pool.
+func (p *pool) requestRate(now time.Time) float64 {
+	p.addRequests(now, 0)
+	return p.requests.perSecond
+}
+
+func (p *pool) addRequests(now time.Time, count float64) {
+	r := &p.requests
+	if elapsed := now.Sub(r.updated); elapsed > 0 {
+		r.perSecond *= math.Exp(-elapsed.Seconds() / requestRateTime.Seconds())
+		r.updated = now
+	}
+	r.perSecond += count / requestRateTime.Seconds()
 }
 
 // Target is the state of one target, as observed by this daemon and reported by
@@ -50,9 +93,15 @@
 	announced announced
 }
 
-// NewBalancer returns a balancer without targets.
-func NewBalancer(l Location) *Balancer {
-	return &Balancer{location: l, targets: make(map[model.TargetID]*Target), pools: make(map[model.PoolID]*pool), left: make(map[model.TargetID]leftTarget)}
+// NewBalancer returns a balancer without targets, of a daemon that reaches the whole
+// fleet.
+func NewBalancer(l Location, options ...Option) *Balancer {
+	b := &Balancer{location: l, targets: make(map[model.TargetID]*Target), pools: make(map[model.PoolID]*pool), left: make(map[model.TargetID]leftTarget),
+		fleetShare: 1, reportDemand: func(model.TargetID, bool) {}}
+	for _, o := range options {
+		o(b)
+	}
+	return b
 }
 
 // Update replaces the targets of all pools. The state of a target is kept while
@@ -67,7 +116,7 @@
 	for id, list := range instances {
 		p := &pool{}
 		if old := b.pools[id]; old != nil {
-			p.baseline = old.baseline
+			p.baseline, p.requests = old.baseline, old.requests
 		}
 		for _, instance := range list {
 			t := b.targets[instance.ID]
@@ -148,6 +197,10 @@
 	defer b.mu.Unlock()
 	if t := b.targets[id]; t != nil {
 		t.adjustLoad(now, float64(sent-ended))
+		b.addRequests(now, t, sent)
+		if t.announced.pacer != nil {
+			t.announced.pacer.AddRemote(now, float64(sent), limit.Demand{})
+		}
 	}
 }
 
@@ -158,6 +211,14 @@
 	t.inFlight++
 	t.lastUsed = now
 	t.adjustLoad(now, 1)
+	t.balancer.addRequests(now, t, 1)
+}
+
+// addRequests counts requests sent to a target for its pool. The caller holds b.mu.
+func (b *Balancer) addRequests(now time.Time, t *Target, count int) {
+	if p := b.pools[t.Pool]; p != nil {
+		p.addRequests(now, float64(count))
+	}
 }
 
 // End counts the end of a request.
--- a/place/choose.go
+++ b/place/choose.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -60,44 +61,129 @@
 	Bytes float64
 	// Repeatable is set if the request may be repeated.
 	Repeatable bool
+	// Urgent is set if the request is of the most urgent rank of its pool. It goes first
+	// at targets with a limit.
+	Urgent bool
 	// Tried lists the targets that must not get the request again.
 	Tried []model.TargetID
 }
 
+// maxLimitedTargets is the number of targets with a limit that are asked for one
+// request, if the pool has no others.
+const maxLimitedTargets = 24
+
 // Choose returns the candidate with the lowest expected cost, or now and then an idle
-// target, and false if the pool has none. Candidates are random targets that are not
-// leaving, by the list or their own word, want no pause, and were not tried. The function random returns a random number in [0, n)
-// for its argument n.
+// target, and false if there is none. Candidates are random targets that are not
+// leaving, by the list or their own word, want no pause, and were not tried. Those with a
+// limit are candidates beside those without one, and are used if they are better and the
+// limit leaves room. The function random returns a random number in [0, n) for its
+// argument n.
 func (b *Balancer) Choose(now time.Time, r Request, random func(int) int) (*Target, bool) {
+	t, wanted := b.choose(now, r, random)
+	for _, id := range wanted {
+		b.reportDemand(id, r.Urgent)
+	}
+	return t, t != nil
+}
+
+// targets holds targets of this daemon's region and of the others.
+type targets struct{ local, remote []*Target }
+
+func (l *targets) size() int { return len(l.local) + len(l.remote) }
+
+func (l *targets) add(t *Target, region model.Region) {
+	if t.Region == region {
+		l.local = append(l.local, t)
+	} else {
+		l.remote = append(l.remote, t)
+	}
+}
+
+// take removes some random targets and returns them.
+func (l *targets) take(random func(int) int) []*Target {
+	local, remote := sample(l.local, localSamples, random), sample(l.remote, remoteSamples, random)
+	l.local, l.remote = l.local[len(local):], l.remote[len(remote):]
+	return slices.Concat(local, remote)
+}
+
+// choose implements Choose. It also returns the targets with a limit that the request
+// would have used, or uses.
+func (b *Balancer) choose(now time.Time, r Request, random func(int) int) (chosen *Target, wanted []model.TargetID) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.pools[r.Pool]
 	if p == nil {
-		return nil, false
+		return nil, nil
+	}
+	limited, unlimited := b.eligible(now, p, r)
+	// Each request compares so many targets with a limit, and all may find this one best.
+	possible := p.requestRate(now) * (localSamples + remoteSamples) / float64(max(limited.size(), 1)) / urgencyClasses
+	admits := func(t *Target) bool {
+		if t.announced.pacer == nil {
+			return true
+		}
+		wanted = append(wanted, t.ID)
+		return t.announced.pacer.Admit(now, r.Urgent, possible, float64(random(limitChances))/limitChances)
+	}
+	if t := sampleIdle(now, slices.Concat(unlimited.local, limited.local), r, random); t != nil && admits(t) {
+		return t, wanted
 	}
-	var local, remote []*Target
+	best := candidate{cost: math.Inf(1)}
+	if list := b.byCost(now, unlimited.take(random), r); len(list) > 0 {
+		best = list[0]
+	}
+	for asked := 0; asked < maxLimitedTargets && limited.size() > 0; {
+		for _, c := range b.byCost(now, limited.take(random), r) {
+			if c.cost < best.cost && admits(c.target) {
+				return c.target, wanted
+			}
+			asked++
+		}
+		if best.target != nil {
+			break
+		}
+	}
+	return best.target, wanted
+}
+
+// eligible returns the targets of the pool that may get the request, those with a limit
+// and those without one. The caller holds b.mu.
+func (b *Balancer) eligible(now time.Time, p *pool, r Request) (limited, unlimited targets) {
 	for _, t := range p.targets {
 		switch {
 		case !t.acceptsRequests(now) || slices.Contains(r.Tried, t.ID):
-		case t.Region == b.location.Region:
-			local = append(local, t)
+		case t.announced.pacer != nil:
+			limited.add(t, b.location.Region)
 		default:
-			remote = append(remote, t)
+			unlimited.add(t, b.location.Region)
 		}
 	}
-	if t := sampleIdle(now, local, r, random); t != nil {
-		return t, true
-	}
-	var best *Target
-	lowest := math.Inf(1)
-	for _, t := range append(sample(local, localSamples, random), sample(remote, remoteSamples, random)...) {
-		if c := b.cost(now, t, r); c < lowest {
-			best, lowest = t, c
-		}
+	return limited, unlimited
+}
+
+// candidate is a target with its expected cost in seconds.
+type candidate struct {
+	target *Target
+	cost   float64
+}
+
+// byCost returns the targets with their expected costs, the lowest first.
+func (b *Balancer) byCost(now time.Time, targets []*Target, r Request) []candidate {
+	list := make([]candidate, len(targets))
+	for i, t := range targets {
+		list[i] = candidate{t, b.cost(now, t, r)}
 	}
-	return best, best != nil
+	slices.SortFunc(list, func(x, y candidate) int { return cmp.Compare(x.cost, y.cost) })
+	return list
 }
 
+// limitChances is the number of different random numbers by which limits are applied.
+const limitChances = 1 << 16
+
+// urgencyClasses is the number of classes of requests whose demand is counted, those that
+// are urgent and the others.
+const urgencyClasses = 2
+
 // sampleIdle returns a random target of this daemon's region that no daemon has used
 // recently, for one in idleProbeRatio first sends of requests that may be repeated,
 // or nil. This finds recovered targets soon, and keeps a target that was avoided for
--- a/proxy/announce_test.go
+++ b/proxy/announce_test.go
@@ -54,6 +54,7 @@
 		ReportObservation: func(model.TargetID, health.Observation, float64) {},
 		ReportRequests:    func(model.TargetID, uint32, uint32) {},
 		ReportLeaving:     func(model.TargetID, int64) {},
+		ReportLimit:       func(model.TargetID, bool, model.Rate) {},
 	})
 	server := httptest.NewServer(p)
 	t.Cleanup(server.Close)
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -70,6 +70,9 @@
 	// ReportLeaving reports to them that the incarnation of a target that started at
 	// startedAt, in Unix milliseconds, said that it leaves.
 	ReportLeaving func(id model.TargetID, startedAt int64)
+	// ReportLimit reports to them the limit that a target named, in requests per second of
+	// all daemons, or with limited unset that it names none any more.
+	ReportLimit func(id model.TargetID, limited bool, limit model.Rate)
 }
 
 // Proxy is the HTTP handler of callers' requests.
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -119,6 +119,7 @@
 		ReportObservation: func(model.TargetID, health.Observation, float64) {},
 		ReportRequests:    func(model.TargetID, uint32, uint32) {},
 		ReportLeaving:     func(model.TargetID, int64) {},
+		ReportLimit:       func(model.TargetID, bool, model.Rate) {},
 	})
 	server := httptest.NewServer(p)
 	t.Cleanup(server.Close)
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -105,7 +105,7 @@
 	// A failure of the last send is final, so a repeatable request that was sent
 	// before is placed as carefully as one that must not be repeated.
 	mayRepeat := d.repeatable() && d.sends == 0
-	criteria := place.Request{Pool: d.pool, UsualSeconds: d.seconds, Bytes: d.bytes, Repeatable: mayRepeat, Tried: d.tried}
+	criteria := place.Request{Pool: d.pool, UsualSeconds: d.seconds, Bytes: d.bytes, Repeatable: mayRepeat, Urgent: d.urgent(), Tried: d.tried}
 	t, ok := d.proxy.deps.Balancer.Choose(time.Now(), criteria, rand.IntN)
 	if !ok {
 		if d.fallback != nil || d.mayHaveRun {
@@ -180,7 +180,7 @@
 	slowTimer.Stop()
 	s.target.End(time.Now())
 	d.proxy.deps.ReportRequests(s.target.ID, 0, 1)
-	d.recordAnnouncement(s.target, &s.out)
+	d.recordAnnouncement(s.target, started, &s.out)
 	load, reported := d.proxy.deps.Protocol.ParseLoad(string(s.targetResp.Header.Peek(d.proxy.deps.Protocol.Load)))
 	if !reported {
 		load = -1
@@ -220,11 +220,15 @@
 
 // recordAnnouncement records what the target said about itself in its response, and
 // logs what is new.
-func (d *dispatch) recordAnnouncement(t *place.Target, out *exch.Outcome) {
+func (d *dispatch) recordAnnouncement(t *place.Target, sentAt time.Time, out *exch.Outcome) {
 	if out.Status == 0 || out.Misdirected {
 		return
 	}
-	news := t.Announce(time.Now(), place.Announcement{Leaving: out.Draining, Limited: out.Limited, Limit: out.Limit, RetryAfter: out.RetryAfter})
+	news := t.Announce(time.Now(), place.Announcement{Leaving: out.Draining, Limited: out.Limited, Limit: out.Limit, RetryAfter: out.RetryAfter, SentAt: sentAt})
+	if out.Limited || news.Limit {
+		// A limit is reported each time, so that hosts that just started learn of it.
+		d.proxy.deps.ReportLimit(t.ID, out.Limited, out.Limit)
+	}
 	log := func(event string) *zerolog.Event {
 		return d.proxy.log.Info().Str("request", d.id).Str("target", string(t.ID)).Int("status", out.Status).Str("announced", event)
 	}
