exch: a late response without end is given up

Cause: a response with another request ID is passed over, and its body was read to its end, without a limit. A target that sends one without end kept the exchange busy until its deadline.

Change: the body of a late response is read up to the size limit of buffered responses.

--- a/exch/exchange.go
+++ b/exch/exchange.go
@@ -224,10 +224,8 @@
 		if size < -1 {
 			break
 		}
-		if stream := x.response.BodyStream(); stream != nil && size != 0 {
-			if _, err := io.Copy(io.Discard, stream); err != nil {
-				return err
-			}
+		if err := x.discardBody(size); err != nil {
+			return err
 		}
 		x.response.Reset()
 		x.response.Header.SetNoDefaultContentType(true)
@@ -237,6 +235,19 @@
 	return errors.New("the response names another request")
 }
 
+// discardBody reads the body of a late response of a size, which may be negative if
+// there is no length. Without a limit, a target could send one until the deadline.
+func (x *exchange) discardBody(size int) error {
+	stream, limit := x.response.BodyStream(), int64(x.client.maxBuffered)
+	if stream == nil || size == 0 {
+		return nil
+	}
+	if n, err := io.Copy(io.Discard, io.LimitReader(stream, limit+1)); err != nil || n > limit {
+		return errors.Join(errors.New("a late response does not end"), err)
+	}
+	return nil
+}
+
 // isShed reports whether the response states that the target did not execute
 // the request. It sets x.out.Misdirected if another target sent the response.
 func (x *exchange) isShed(h *fasthttp.ResponseHeader) bool {
