exch: a refusal that is written again is not taken for the next request's

What callers saw: another operator's clients were told "not run, try again" for requests that a target had run or was running (REFUSED, TWICE), because it wrote an earlier refusal once more on a kept connection.

Cause: in the product's own protocol responses don't name their request, so the copy counted as the refusal of the next request on the connection. On the users' platform targets echo the request ID, and a response with another ID, or with none, is passed over: it cannot happen there.

Evidence: TestRefusalWrittenAgain, before the change: "own protocol" gets class shed on a kept connection; the four cases with IDs pass.

Change: where responses don't name their request, a connection is closed after a refusal. So no connection that is kept has carried one. It costs a new connection for each refusal there.

Result: the test and those of exch, gate and relay pass under the race detector.

--- a/exch/exchange.go
+++ b/exch/exchange.go
@@ -357,10 +357,14 @@
 	return data
 }
 
-// finishShed ends an exchange whose request the target shed. The connection is
-// kept if the body is already buffered.
+// finishShed ends an exchange whose request the target shed. The connection is kept if
+// the body is already buffered and responses name their request. Without that, a
+// refusal that the target writes once more would be taken for that of the next request.
 func (x *exchange) finishShed() Outcome {
 	x.out.Class = Shed
+	if x.client.headers.Request == "" {
+		return x.finish(false)
+	}
 	size := x.response.Header.ContentLength()
 	clean := x.response.BodyStream() == nil
 	if size >= 0 && size <= x.reader.Buffered() && !clean {
--- a/exch/faulty_test.go
+++ b/exch/faulty_test.go
@@ -28,6 +28,46 @@
 	return out, time.Since(started)
 }
 
+// TestRefusalWrittenAgain guards against a request that ran and is reported as not run,
+// because the target wrote an earlier refusal once more on the connection.
+func TestRefusalWrittenAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		headers Headers
+		refusal string
+	}{
+		"own protocol":    {defaultHeaders, "HTTP/1.1 503 Busy\r\nRhubarbdrift-Shed: 1\r\nContent-Length: 4\r\n\r\nbusy"},
+		"echoed IDs":      {platformHeaders, "HTTP/1.1 503 Busy\r\nRequest: 1\r\nShed: 1\r\nContent-Length: 0\r\n\r\n"},
+		"IDs not echoed":  {platformHeaders, "HTTP/1.1 503 Busy\r\nShed: 1\r\nContent-Length: 0\r\n\r\n"},
+		"misdirected":     {platformHeaders, "HTTP/1.1 421 Misdirected\r\nRequest: 1\r\nContent-Length: 0\r\n\r\n"},
+		"endless copies":  {platformHeaders, strings.Repeat("HTTP/1.1 503 Busy\r\nRequest: 1\r\nShed: 1\r\nContent-Length: 0\r\n\r\n", 20)},
+		"own, and status": {defaultHeaders, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &scriptedTarget{script: func(nc net.Conn, n int) {
+					if n == 1 {
+						send(nc, c.refusal)
+						return
+					}
+					// Runs the request, but writes the refusal of the first one.
+					send(nc, c.refusal)
+					time.Sleep(time.Second)
+					send(nc, "HTTP/1.1 200 OK\r\nRequest: 2\r\nSignature: s\r\nContent-Length: 5\r\n\r\nproof")
+				}}
+				client := New(WithDial(s.dial), WithHeaders(c.headers))
+				doOnce(t, client, "1", 3*time.Second)
+				time.Sleep(100 * time.Millisecond)
+				before := s.dials.Load()
+				out, _ := doOnce(t, client, "2", 3*time.Second)
+				reused := s.dials.Load() == before
+				test.False(t, reused && out.NotRun(), test.Sprintf("class %s on a kept connection", out.Class))
+				client.Close()
+				time.Sleep(2 * time.Second) // until the target's script has ended
+			})
+		})
+	}
+}
+
 // TestBrokenHead guards against a response that counts as complete although the target
 // closed the connection in the middle of its head or body.
 func TestBrokenHead(t *testing.T) {
