watch, wire, mesh: the store's return does not fill the link between regions

Cause: when the store answers again, the news reaches all hosts over the mesh within half a second, and each of them then reads the targets from the store at once. Calls time out after 1 s and start again, and what the mesh carries on the same link, new configurations and leaving targets, waits behind them. On the small sites the same answers take 0.2 s.

Change: a host that hears of the return from a neighbour waits 0.6 to 1.2 s for that neighbour's relay, if the store was away for more than 3 s. Hosts that the store answers read at once. Answers of the mesh with 16 entries or more are compressed where the other host can decompress them: a host with a link of 10 Mbit/s has a dozen children.

Why this works: the link carries the entries once, and in the tree they are an eighth of the size.

--- a/mesh/run.go
+++ b/mesh/run.go
@@ -57,6 +57,19 @@
 	EchoedVersions []store.Version `cbor:"6,keyasint,omitempty"`
 }
 
+// largeMessage is the number of entries from which a message counts as large. Hosts with
+// slow links may have a dozen children, and all of them catch up at the same time.
+const largeMessage = 16
+
+// Large implements wire.Sizer.
+func (m *Message) Large() bool {
+	entries := 0
+	for i := range m.Updates {
+		entries += len(m.Updates[i].Events)
+	}
+	return entries >= largeMessage
+}
+
 // RegisterHandler registers the handler for messages from children.
 func RegisterHandler(s *wire.Server, n *Node, l *RelayedLists) {
 	wire.Handle(s, method, func(_ context.Context, m *Message) (*Message, error) {
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -76,6 +76,11 @@
 	// hosts read the lists from the store. startPoll is the time between two checks.
 	startWait = 150 * time.Millisecond
 	startPoll = 5 * time.Millisecond
+	// returnWait and returnSpread bound the wait for a relay when the store answers again
+	// after most entries may have changed. An answer then holds all of them, and those to
+	// all hosts of a region at once take seconds on the link between regions.
+	returnWait   = 600 * time.Millisecond
+	returnSpread = 600 * time.Millisecond
 	// relayCheckInterval is how often a daemon that relies on a relay, or has no
 	// reason to call the store, checks whether that still holds.
 	relayCheckInterval = 100 * time.Millisecond
@@ -135,6 +140,7 @@
 // complete, else by calls to the store. The error is always nil.
 func (f *follower) run(ctx context.Context) error {
 	f.awaitRelay(ctx)
+	lapsed := false   // the store was away for so long that most entries may have changed
 	unrelayed := true // no neighbour relayed the list at the last check; at the start, the store is called without a pause
 	for ctx.Err() == nil {
 		if f.relayed() {
@@ -150,9 +156,16 @@
 			continue
 		}
 		if !f.mayCall() {
+			lapsed = lapsed || f.storeAge() > lapseAge
 			sleep(ctx, relayCheckInterval)
 			continue
 		}
+		if lapsed && !f.storeAnswers() {
+			lapsed = false
+			f.awaitReturnRelay(ctx)
+			continue
+		}
+		lapsed = false
 		changed, err := f.step(ctx)
 		switch {
 		case err != nil && ctx.Err() == nil:
@@ -174,6 +187,16 @@
 	}
 }
 
+// awaitReturnRelay waits, after the store was away for long, until a neighbour relays
+// the list, or for returnWait and up to returnSpread more. The neighbour that relayed the
+// news that the store answers is about to receive the list itself.
+func (f *follower) awaitReturnRelay(ctx context.Context) {
+	end := f.sinceBoot() + returnWait + rand.N(returnSpread)
+	for ctx.Err() == nil && f.sinceBoot() < end && !f.hasRelay() {
+		sleep(ctx, startPoll)
+	}
+}
+
 // relayed reports whether a neighbour's relays keep this list complete.
 func (f *follower) relayed() bool {
 	return !f.first.Load() && f.hasRelay() && f.storeAge() < maxRelayAge
--- /dev/null
+++ b/wire/compress_test.go
@@ -0,0 +1,34 @@
+package wire
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+)
+
+// TestLargeAnswers guards against large answers that are sent uncompressed or arrive
+// damaged, and against small ones that are compressed.
+func TestLargeAnswers(t *testing.T) {
+	f := startServer(t)
+	text := strings.Repeat(`{"address":"10.1.0.21:8689","state":"ready"}`, 1000)
+	bytesOf := func(call func()) uint64 {
+		before, _ := f.counters.Bytes()
+		call()
+		after, _ := f.counters.Bytes()
+		return after - before
+	}
+	large := bytesOf(func() {
+		a, err := Call[testMessage, largeAnswer](t.Context(), f.client, "large", &testMessage{Text: text})
+		must.NoError(t, err)
+		test.EqOp(t, text, a.Text)
+	})
+	plain := bytesOf(func() {
+		a, err := Call[testMessage, testMessage](t.Context(), f.client, "echo", &testMessage{Text: text})
+		must.NoError(t, err)
+		test.EqOp(t, text, a.Text)
+	})
+	test.Greater(t, uint64(len(text)), plain)
+	test.Less(t, uint64(len(text)/10), large)
+}
--- a/wire/server.go
+++ b/wire/server.go
@@ -66,6 +66,7 @@
 			if err != nil {
 				return nil, toStatus(ctx, err)
 			}
+			compressIfLarge(ctx, a)
 			return a, nil
 		},
 	})
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -26,6 +26,13 @@
 	return nil
 }
 
+// largeAnswer is an answer that is compressed.
+type largeAnswer struct {
+	Text string `cbor:"1,keyasint"`
+}
+
+func (*largeAnswer) Large() bool { return true }
+
 type fixture struct {
 	pool     *ClientPool
 	client   *Client
@@ -39,6 +46,7 @@
 	f := &fixture{counters: NewCounters(), received: make(chan string, 100), unblock: make(chan struct{})}
 	s := NewServer(WithCounters(f.counters))
 	Handle(s, "echo", func(_ context.Context, q *testMessage) (*testMessage, error) { return &testMessage{Text: q.Text}, nil })
+	Handle(s, "large", func(_ context.Context, q *testMessage) (*largeAnswer, error) { return &largeAnswer{Text: q.Text}, nil })
 	Handle(s, "fail", func(_ context.Context, q *testMessage) (*testMessage, error) {
 		return nil, fault.New(fault.Kind(q.Text), "it failed", "do something")
 	})
