watch, mesh: a neighbour passes on what it has, also when it is outdated

What callers saw: a host used an older configuration than the others, and targets that had left (CONFIG, DRAIN).

Cause: a host relayed a list only while it was sure that the list was current. When the first host lost the store, its children stopped relaying with the next message, and so on down the tree, faster than the last change went down. Hosts that the change had not reached stayed with the older version although their neighbour had the newer one.

TestKnownChangeWithheld fails before the change: the child has 1 target, wanted 2.

Change: an update is also sent if it is not current but newer than the neighbour's copy, and says so. The receiver takes the entries with their true age, does not rely on the sender for later ones, and does not send them back. A host offers its own current copy to a parent whose update is outdated.

TestRelayUp expected no update for others in this state; it now expects one that says that it is outdated, and none without news. That a host must not rely on it is in TestKnownChangeWithheld.

--- a/mesh/relay.go
+++ b/mesh/relay.go
@@ -18,6 +18,9 @@
 	Events   []store.Event `cbor:"3,keyasint,omitempty"`
 	// Age is the time since the list was known to be complete, in milliseconds.
 	Age model.Millis `cbor:"4,keyasint,omitempty"`
+	// Outdated is set if the sender does not receive the list any more. The entries are
+	// newer than the receiver's, but no others may follow.
+	Outdated bool `cbor:"5,keyasint,omitempty"`
 }
 
 // List is a list of the store that neighbours relay to each other, so that few
@@ -26,8 +29,8 @@
 	// Version returns the version up to which the local copy is complete.
 	Version() store.Version
 	// Since returns the update for a neighbour whose copy is complete up to
-	// version known. The update is empty if the local copy is not current or was
-	// itself received from that neighbour.
+	// version known. The update is empty if the local copy was received from that
+	// neighbour, or if it is neither current nor newer than the neighbour's.
 	Since(known store.Version, to model.HostID) ListUpdate
 	// ApplyUpdate applies an update that a neighbour computed for version known. The
 	// update's age counts back from at, a reading of RelayedLists.Clock taken before the
@@ -92,7 +95,7 @@
 	}
 	out := make([]ListUpdate, len(l.All))
 	for i, list := range l.All {
-		if answer.Updates[i].Version == 0 {
+		if answer.Updates[i].Version == 0 || answer.Updates[i].Outdated {
 			out[i] = list.Since(answer.Versions[i], answer.From)
 		}
 	}
--- a/watch/relay.go
+++ b/watch/relay.go
@@ -23,13 +23,14 @@
 	age := f.storeAge()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.version == 0 || age >= maxRelayAge || !f.canRelay(to) {
+	outdated := age >= maxRelayAge || !f.canRelay(to)
+	if f.version == 0 || age == neverCompleteAge || outdated && (f.version <= known || f.relayedBy == to) {
 		return mesh.ListUpdate{}
 	}
 	// A neighbour that called the store itself may have a newer copy. It gets an
 	// update without events, which confirms that this daemon will relay changes. The
 	// age is rounded up to whole milliseconds.
-	u := mesh.ListUpdate{Version: max(f.version, known), Complete: known < f.floor, Age: model.Millis(age/time.Millisecond) + 1}
+	u := mesh.ListUpdate{Version: max(f.version, known), Complete: known < f.floor, Age: model.Millis(age/time.Millisecond) + 1, Outdated: outdated}
 	for _, e := range f.records {
 		if u.Complete && !e.event.Deleted || !u.Complete && e.updateVersion > known {
 			u.Events = append(u.Events, e.event)
@@ -50,12 +51,14 @@
 
 // ApplyUpdate implements mesh.List.
 func (f *follower) ApplyUpdate(u *mesh.ListUpdate, known store.Version, at time.Duration, relayedBy model.HostID) {
-	if u.Version == 0 {
+	if u.Version == 0 || u.Outdated {
 		f.mu.Lock()
 		if f.relayedBy == relayedBy {
 			f.lastRelay.Store(0) // it cannot reach the store, or got the list from this daemon
 		}
 		f.mu.Unlock()
+	}
+	if u.Version == 0 {
 		return
 	}
 	if f.age() > lapseAge {
@@ -78,6 +81,12 @@
 	// The list is known to be complete at this time, or later: at precedes the
 	// reading from which the neighbour counted the age.
 	f.setComplete(at - u.Age.Duration())
+	if u.Outdated {
+		f.keepOutdated(relayedBy)
+		f.mu.Unlock()
+		f.afterApply()
+		return
+	}
 	f.relayedBy = relayedBy
 	f.lastRelay.Store(int64(f.sinceBoot()))
 	f.mu.Unlock()
@@ -86,3 +95,14 @@
 		f.restartWatch() // this daemon's own watch is no longer needed
 	}
 }
+
+// keepOutdated records that entries came from a neighbour that does not receive the list
+// any more. They are not relayed back to it, and this daemon does not rely on it. The
+// caller holds f.mu.
+func (f *follower) keepOutdated(relayedBy model.HostID) {
+	if f.relayedBy == "" && f.lastCallOK.Load() {
+		return // this daemon reads from the store
+	}
+	f.relayedBy = relayedBy
+	f.lastRelay.Store(0)
+}
--- a/watch/relay_test.go
+++ b/watch/relay_test.go
@@ -160,12 +160,14 @@
 		test.Eq(t, 2, targetCount(p.child))
 
 		// The child's list now comes from its parent and is not relayed back. When the
-		// parent loses the store, the child has no update for others.
+		// parent loses the store, the child's updates for others say that they are outdated.
 		u := p.child.Since(0, "parent")
 		test.Eq(t, 0, u.Version)
 		p.parent.recordFailure(errors.New("refused"))
 		p.relay()
 		u = p.child.Since(0, "grandchild")
+		test.True(t, u.Outdated)
+		u = p.child.Since(u.Version, "grandchild")
 		test.Eq(t, 0, u.Version)
 	})
 }
@@ -221,3 +223,28 @@
 		test.Eq(t, 6, other.Version)
 	})
 }
+
+// TestKnownChangeWithheld guards against a change that a host does not get from its
+// neighbour, because the neighbour lost the store between receiving and relaying it
+// (wanjiru-gate-grown: a host used an older configuration than the others for 4.4 s).
+func TestKnownChangeWithheld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPair(t)
+		p.answer(5, putEvent("a"))
+		p.relay()
+		test.True(t, p.child.relayed())
+		p.answer(7, putEvent("b"))
+		p.parent.recordFailure(errors.New("refused"))
+		p.age = 2 * maxRelayAge
+		p.relay()
+		test.Eq(t, 2, targetCount(p.child))
+		// What the neighbour has is no reason to rely on it.
+		test.False(t, p.child.relayed())
+		u := p.parent.Since(p.child.Version(), "child")
+		test.Eq(t, 0, u.Version)
+		grandchild := p.child.Since(0, "grandchild")
+		test.True(t, grandchild.Outdated)
+		back := p.child.Since(0, "parent")
+		test.Eq(t, 0, back.Version)
+	})
+}
