exch, proxy: a response that is not the target's does not end its limit

What callers saw: nothing; found by reading the change.

Cause: the proxy took every response with a status for the target's word, also one without signature that the exchange rejects. A target that spoils an answer would so have lifted its own limit in the whole fleet.

Evidence: in TestAnnouncements the rows "another target" and "not the target's" had the same outcome as a response without announcements.

Change: the outcome says whether the headers count as the target's. The test compares it.

--- a/exch/announce_test.go
+++ b/exch/announce_test.go
@@ -19,23 +19,24 @@
 	rows := []struct {
 		name, response string
 		expected       Outcome
+		silent         bool // nothing counts as announced
 	}{
-		{"leaves", "200 OK\r\nRequest: 1\r\nSignature: s\r\nLeaving: 1", Outcome{Draining: true}},
-		{"stays", "200 OK\r\nRequest: 1\r\nSignature: s\r\nLeaving: 0", Outcome{}},
-		{"leaves and fails", "500 Error\r\nRequest: 1\r\nLeaving: 1", Outcome{Draining: true}},
-		{"leaves and sheds", "503 Busy\r\nRequest: 1\r\nShed: 1\r\nLeaving: 1", Outcome{Draining: true}},
-		{"limit", "200 OK\r\nRequest: 1\r\nSignature: s\r\nLimit: 5.6", Outcome{Limited: true, Limit: 5.6}},
-		{"limit of zero", "200 OK\r\nRequest: 1\r\nSignature: s\r\nLimit: 0", Outcome{Limited: true}},
-		{"no number", "200 OK\r\nRequest: 1\r\nSignature: s\r\nLimit: none", Outcome{}},
-		{"negative", "200 OK\r\nRequest: 1\r\nSignature: s\r\nLimit: -1", Outcome{}},
-		{"infinite", "200 OK\r\nRequest: 1\r\nSignature: s\r\nLimit: inf", Outcome{}},
-		{"not a number", "200 OK\r\nRequest: 1\r\nSignature: s\r\nLimit: nan", Outcome{}},
-		{"pause", "503 Busy\r\nRequest: 1\r\nShed: 1\r\nRetry-After: 1.5", Outcome{RetryAfter: 1500 * time.Millisecond}},
-		{"pause after 503 that ran", "503 Busy\r\nRequest: 1\r\nRetry-After: 2", Outcome{RetryAfter: 2 * time.Second}},
-		{"pause with another status", "429 Slow\r\nRequest: 1\r\nShed: 1\r\nRetry-After: 2", Outcome{}},
-		{"long pause", "503 Busy\r\nRequest: 1\r\nShed: 1\r\nRetry-After: 1e300", Outcome{RetryAfter: maxRetryAfter}},
-		{"another target", "421 Misdirected\r\nRequest: 1\r\nLeaving: 1\r\nLimit: 1", Outcome{}},
-		{"not the target's", "200 OK\r\nRequest: 1\r\nLeaving: 1\r\nLimit: 1", Outcome{}},
+		{name: "leaves", response: "200 OK\r\nRequest: 1\r\nSignature: s\r\nLeaving: 1", expected: Outcome{Draining: true}},
+		{name: "stays", response: "200 OK\r\nRequest: 1\r\nSignature: s\r\nLeaving: 0", expected: Outcome{}},
+		{name: "leaves and fails", response: "500 Error\r\nRequest: 1\r\nLeaving: 1", expected: Outcome{Draining: true}},
+		{name: "leaves and sheds", response: "503 Busy\r\nRequest: 1\r\nShed: 1\r\nLeaving: 1", expected: Outcome{Draining: true}},
+		{name: "limit", response: "200 OK\r\nRequest: 1\r\nSignature: s\r\nLimit: 5.6", expected: Outcome{Limited: true, Limit: 5.6}},
+		{name: "limit of zero", response: "200 OK\r\nRequest: 1\r\nSignature: s\r\nLimit: 0", expected: Outcome{Limited: true}},
+		{name: "no number", response: "200 OK\r\nRequest: 1\r\nSignature: s\r\nLimit: none", expected: Outcome{}},
+		{name: "negative", response: "200 OK\r\nRequest: 1\r\nSignature: s\r\nLimit: -1", expected: Outcome{}},
+		{name: "infinite", response: "200 OK\r\nRequest: 1\r\nSignature: s\r\nLimit: inf", expected: Outcome{}},
+		{name: "not a number", response: "200 OK\r\nRequest: 1\r\nSignature: s\r\nLimit: nan", expected: Outcome{}},
+		{name: "pause", response: "503 Busy\r\nRequest: 1\r\nShed: 1\r\nRetry-After: 1.5", expected: Outcome{RetryAfter: 1500 * time.Millisecond}},
+		{name: "pause after 503 that ran", response: "503 Busy\r\nRequest: 1\r\nRetry-After: 2", expected: Outcome{RetryAfter: 2 * time.Second}},
+		{name: "pause with another status", response: "429 Slow\r\nRequest: 1\r\nShed: 1\r\nRetry-After: 2", expected: Outcome{}},
+		{name: "long pause", response: "503 Busy\r\nRequest: 1\r\nShed: 1\r\nRetry-After: 1e300", expected: Outcome{RetryAfter: maxRetryAfter}},
+		{name: "another target", response: "421 Misdirected\r\nRequest: 1\r\nLeaving: 1\r\nLimit: 1", silent: true},
+		{name: "not the target's", response: "200 OK\r\nRequest: 1\r\nLeaving: 1\r\nLimit: 1", silent: true},
 	}
 	for _, r := range rows {
 		t.Run(r.name, func(t *testing.T) {
@@ -48,7 +49,8 @@
 				req.Header.Set("Request", "1")
 				out := c.Do(ctx, target, req, new(fasthttp.Response))
 				c.Close()
-				test.Eq(t, r.expected, Outcome{Draining: out.Draining, Limited: out.Limited, Limit: out.Limit, RetryAfter: out.RetryAfter})
+				r.expected.Announced = !r.silent
+				test.Eq(t, r.expected, Outcome{Announced: out.Announced, Draining: out.Draining, Limited: out.Limited, Limit: out.Limit, RetryAfter: out.RetryAfter})
 			})
 		})
 	}
--- a/exch/exchange.go
+++ b/exch/exchange.go
@@ -268,6 +268,7 @@
 	if x.out.Misdirected {
 		return
 	}
+	x.out.Announced = true
 	names := &x.client.headers
 	// A target that sheds a request and closes the connection counts as draining too,
 	// except with ShedAnyStatus.
--- a/exch/outcome.go
+++ b/exch/outcome.go
@@ -70,6 +70,7 @@
 // Outcome is the result of an exchange.
 type Outcome struct {
 	Class         Class
+	Announced     bool          // the response is the target's, so that what it announces or leaves out counts
 	Draining      bool          // the target asked for no new requests
 	Limited       bool          // the target named a limit
 	Limit         model.Rate    // the limit for all hosts together, if Limited
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -221,7 +221,7 @@
 // recordAnnouncement records what the target said about itself in its response, and
 // logs what is new.
 func (d *dispatch) recordAnnouncement(t *place.Target, sentAt time.Time, out *exch.Outcome) {
-	if out.Status == 0 || out.Misdirected {
+	if !out.Announced {
 		return
 	}
 	news := t.Announce(time.Now(), place.Announcement{Leaving: out.Draining, Limited: out.Limited, Limit: out.Limit, RetryAfter: out.RetryAfter, SentAt: sentAt})
