proxy: Retry-After of a refusal is bounded

What callers saw: nothing; found by reading the change. If all targets of a pool had asked for a pause of an hour, callers would have been told to stay away that long, although other targets may be added.

Change: at most 20 s, before it is spread.

--- a/proxy/run.go
+++ b/proxy/run.go
@@ -132,12 +132,16 @@
 
 func (d *dispatch) usualTime() time.Duration { return time.Duration(d.seconds * float64(time.Second)) }
 
+// maxReturnDelay bounds the time after which a caller is told to return: by then other
+// targets may have been added.
+const maxReturnDelay = 20 * time.Second
+
 // returnDelay returns the Retry-After of a request that the pool's targets can't serve
 // now: about the time until a slot or the first target that wants a pause is free. It
 // is spread, so that callers don't return all at once, and shorter for the most urgent
 // requests, so that these return first.
 func (d *dispatch) returnDelay() time.Duration {
-	earliest := max(d.usualTime(), d.proxy.deps.Balancer.PauseLeft(time.Now(), d.pool))
+	earliest := min(max(d.usualTime(), d.proxy.deps.Balancer.PauseLeft(time.Now(), d.pool)), maxReturnDelay)
 	spread := time.Duration(rand.Int64N(int64(earliest)/2 + 1))
 	if d.urgent() {
 		return earliest + spread
