place: what a target announced outlives a lapse of its entry

Cause: an entry that lapses and is listed again made a new target without a past.

Evidence: TestAnnouncedForgotten, which holds TestLeftForgotten's check and compares all that was announced before and after the lapse; the code before keeps only the first field.

Change: all of it is remembered for ten minutes after the entry was last listed, for that incarnation.

--- a/place/announce.go
+++ b/place/announce.go
@@ -26,13 +26,14 @@
 	limitSince   time.Time // when this daemon learned of the limit
 }
 
-// leftMemory is the time for which it is remembered that a target leaves after it was
-// last listed: longer than a target serves after that.
-const leftMemory = 10 * time.Minute
+// announcedMemory is the time for which it is remembered what a target announced after
+// it was last listed: longer than a target that leaves still serves.
+const announcedMemory = 10 * time.Minute
 
-// leftTarget is a target that said that it leaves.
-type leftTarget struct {
+// formerTarget is what a target announced that may not be listed any more.
+type formerTarget struct {
 	startedAt  int64 // start time of the incarnation, as in model.Instance
+	announced  announced
 	lastListed time.Time
 }
 
@@ -62,26 +63,26 @@
 	return left
 }
 
-// recordLeft remembers the listed targets that said that they leave, and forgets those
+// recordAnnounced remembers what the listed targets announced, and forgets that of targets
 // that were last listed long ago. The caller holds b.mu.
-func (b *Balancer) recordLeft(now time.Time) {
+func (b *Balancer) recordAnnounced(now time.Time) {
 	for id, t := range b.targets {
-		if !t.announced.leavingSince.IsZero() {
-			b.left[id] = leftTarget{startedAt: t.StartedAt, lastListed: now}
+		if t.announced != (announced{}) {
+			b.former[id] = formerTarget{startedAt: t.StartedAt, announced: t.announced, lastListed: now}
 		}
 	}
-	for id, l := range b.left {
-		if now.Sub(l.lastListed) > leftMemory {
-			delete(b.left, id)
+	for id, f := range b.former {
+		if now.Sub(f.lastListed) > announcedMemory {
+			delete(b.former, id)
 		}
 	}
 }
 
-// restoreLeaving marks a target that is listed again, after it said that it leaves. The
-// caller holds the balancer's lock.
-func (t *Target) restoreLeaving(now time.Time) {
-	if l, ok := t.balancer.left[t.ID]; ok && l.startedAt == t.StartedAt && t.announced.leavingSince.IsZero() {
-		t.announced.leavingSince = now
+// restoreAnnounced restores what a target announced that is listed again. The caller
+// holds the balancer's lock.
+func (t *Target) restoreAnnounced() {
+	if f, ok := t.balancer.former[t.ID]; ok && f.startedAt == t.StartedAt {
+		t.announced = f.announced
 	}
 }
 
--- a/place/announce_test.go
+++ b/place/announce_test.go
@@ -36,16 +36,28 @@
 	test.Eq(t, 0, b.Size("p"))
 }
 
-// TestLeftForgotten guards against a record of targets that left which grows without
-// bound.
-func TestLeftForgotten(t *testing.T) {
+// TestAnnouncedForgotten guards against announcements that are forgotten when the
+// target's entry lapses and returns, that outlive the incarnation, or that are remembered
+// without end.
+func TestAnnouncedForgotten(t *testing.T) {
 	now := time.Unix(0, 0)
 	b, target := newAnnouncing(t, now)
-	target.Announce(now, Announcement{Leaving: true})
+	instance := target.Instance
+	relist := func(startedAt int64) announced {
+		instance.StartedAt = startedAt
+		b.Update(now, nil)
+		b.Update(now, map[model.PoolID][]*model.Instance{"p": {&instance}})
+		return b.targets["a"].announced
+	}
+	target.Announce(now, Announcement{Leaving: true, Limited: true, Limit: 5, RetryAfter: time.Second})
+	test.True(t, target.announced == relist(1000))
+	test.True(t, relist(1001) == announced{})
+
+	b.targets["a"].Announce(now, Announcement{Leaving: true})
 	b.Update(now, nil)
-	test.MapLen(t, 1, b.left)
-	b.Update(now.Add(leftMemory+time.Second), nil)
-	test.MapLen(t, 0, b.left)
+	test.MapLen(t, 1, b.former)
+	b.Update(now.Add(announcedMemory+time.Second), nil)
+	test.MapLen(t, 0, b.former)
 }
 
 // TestLimitEnds guards against a limit that outlives the target's word, and against an
--- a/place/balancer.go
+++ b/place/balancer.go
@@ -23,7 +23,7 @@
 	mu      sync.Mutex
 	targets map[model.TargetID]*Target
 	pools   map[model.PoolID]*pool
-	left    map[model.TargetID]leftTarget
+	former  map[model.TargetID]formerTarget
 	// fleetShare is the share of the fleet that is reachable from this daemon, and so the
 	// share of targets' limits that it uses.
 	fleetShare   float64
@@ -96,7 +96,7 @@
 // NewBalancer returns a balancer without targets, of a daemon that reaches the whole
 // fleet.
 func NewBalancer(l Location, options ...Option) *Balancer {
-	b := &Balancer{location: l, targets: make(map[model.TargetID]*Target), pools: make(map[model.PoolID]*pool), left: make(map[model.TargetID]leftTarget),
+	b := &Balancer{location: l, targets: make(map[model.TargetID]*Target), pools: make(map[model.PoolID]*pool), former: make(map[model.TargetID]formerTarget),
 		fleetShare: 1, reportDemand: func(model.TargetID, bool) {}}
 	for _, o := range options {
 		o(b)
@@ -105,12 +105,12 @@
 }
 
 // Update replaces the targets of all pools. The state of a target is kept while
-// its start time and address stay the same. What it said about leaving is also kept
-// while it is not listed.
+// its start time and address stay the same. What it announced is also kept while it is not
+// listed.
 func (b *Balancer) Update(now time.Time, instances map[model.PoolID][]*model.Instance) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.recordLeft(now)
+	b.recordAnnounced(now)
 	targets := make(map[model.TargetID]*Target)
 	pools := make(map[model.PoolID]*pool)
 	for id, list := range instances {
@@ -120,11 +120,14 @@
 		}
 		for _, instance := range list {
 			t := b.targets[instance.ID]
-			if t == nil || t.StartedAt != instance.StartedAt || t.Address != instance.Address {
+			isNew := t == nil || t.StartedAt != instance.StartedAt || t.Address != instance.Address
+			if isNew {
 				t = &Target{balancer: b, firstSeen: now}
 			}
 			t.Instance = *instance
-			t.restoreLeaving(now)
+			if isNew {
+				t.restoreAnnounced()
+			}
 			targets[instance.ID] = t
 			p.targets = append(p.targets, t)
 		}
