place: one target's pause does not keep callers away from the others

What callers saw: nothing; found by reading the change.

Cause: the Retry-After of a refusal was the shortest pause of any target, also if other targets took requests and were only full for a moment.

Evidence: TestPauseLeft fails before the change: 1m0s with a second target that takes requests, wanted 0.

Change: the pause counts only if no target of the pool takes requests.

Result: the tests of place and proxy pass.

--- a/place/announce.go
+++ b/place/announce.go
@@ -47,17 +47,26 @@
 	return !t.isLeaving() && !now.Before(t.announced.pausedUntil)
 }
 
-// PauseLeft returns the time until one of the targets of the pool that want a pause
-// takes requests again, or 0 if there is none.
+// PauseLeft returns the time until one of the targets of the pool takes requests again,
+// if all that don't leave want a pause, or else 0.
 func (b *Balancer) PauseLeft(now time.Time, id model.PoolID) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	p := b.pools[id]
+	if p == nil {
+		return 0
+	}
 	left := time.Duration(0)
-	if p := b.pools[id]; p != nil {
-		for _, t := range p.targets {
-			if pause := t.announced.pausedUntil.Sub(now); !t.isLeaving() && pause > 0 && (left == 0 || pause < left) {
-				left = pause
-			}
+	for _, t := range p.targets {
+		if t.isLeaving() {
+			continue
+		}
+		pause := max(t.announced.pausedUntil.Sub(now), 0)
+		if pause == 0 {
+			return 0
+		}
+		if left == 0 || pause < left {
+			left = pause
 		}
 	}
 	return left
--- a/place/announce_test.go
+++ b/place/announce_test.go
@@ -60,6 +60,21 @@
 	test.MapLen(t, 0, b.former)
 }
 
+// TestPauseLeft guards against callers that are told to stay away for the pause of one
+// target, although another takes requests.
+func TestPauseLeft(t *testing.T) {
+	now := time.Unix(0, 0)
+	b, target := newAnnouncing(t, now)
+	other := model.Instance{Pool: "p", Target: model.Target{ID: "b", Region: "r", Domain: "d", Slots: 3}}
+	b.Update(now, map[model.PoolID][]*model.Instance{"p": {&target.Instance, &other}})
+	b.targets["a"].Announce(now, Announcement{RetryAfter: time.Minute})
+	test.Eq(t, 0, b.PauseLeft(now, "p"))
+	b.targets["b"].Announce(now, Announcement{RetryAfter: time.Second})
+	test.Eq(t, time.Second, b.PauseLeft(now, "p"))
+	b.targets["b"].Announce(now, Announcement{Leaving: true})
+	test.Eq(t, time.Minute, b.PauseLeft(now, "p"))
+}
+
 // TestLimitEnds guards against a limit that outlives the target's word, and against an
 // answer from before the limit that ends it.
 func TestLimitEnds(t *testing.T) {
