--- a/exch/announce_test.go
+++ b/exch/announce_test.go
@@ -11,8 +11,7 @@
 	"github.com/valyala/fasthttp"
 )
 
-// TestAnnouncements guards against announcements of a target that are not read, or
-// that are attributed to a target that did not make them.
+// TestAnnouncements guards against announcements that are not read, or attributed to the wrong target.
 func TestAnnouncements(t *testing.T) {
 	names := Headers{Deadline: "Deadline", Expect: "Expect", Shed: "Shed", ShedAnyStatus: true, Request: "Request", Signature: "Signature",
 		Drain: "Leaving", Limit: "Limit", RetryAfter: "Retry-After"}
--- a/exch/faulty_test.go
+++ b/exch/faulty_test.go
@@ -28,8 +28,7 @@
 	return out, time.Since(started)
 }
 
-// TestRefusalWrittenAgain guards against a request that ran and is reported as not run,
-// because the target wrote an earlier refusal once more on the connection.
+// TestRefusalWrittenAgain guards against a false "not run" from an earlier refusal that arrives again.
 func TestRefusalWrittenAgain(t *testing.T) {
 	for name, c := range map[string]struct {
 		headers Headers
@@ -68,8 +67,7 @@
 	}
 }
 
-// TestBrokenHead guards against a response that counts as complete although the target
-// closed the connection in the middle of its head or body.
+// TestBrokenHead guards against a response that counts as complete although it broke off.
 func TestBrokenHead(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\nRequest: 1\r\nSignature: s\r\n"
 	for name, whole := range map[string]string{
@@ -102,8 +100,7 @@
 	})
 }
 
-// TestEndlessBytes guards against an exchange that goes on until its deadline, or holds
-// ever more memory, while the target sends bytes without end that are no response.
+// TestEndlessBytes guards against an exchange that lasts as long as a target sends bytes.
 func TestEndlessBytes(t *testing.T) {
 	const (
 		deadline = 10 * time.Second
--- a/mesh/limit_test.go
+++ b/mesh/limit_test.go
@@ -8,8 +8,7 @@
 	"rhubarbdrift.example/model"
 )
 
-// TestLimitReports guards against a limit that changes on its way through the mesh, or
-// that is mistaken for none or for no report.
+// TestLimitReports guards against a limit that changes on its way through the mesh.
 func TestLimitReports(t *testing.T) {
 	for _, c := range []struct{ sent, received model.Rate }{{0, 0}, {0.001, 0.001}, {5.6, 5.6}, {4.35, 4.35}, {1e12, maxLimit}} {
 		counts := TargetCounts{Limit: EncodeLimit(true, c.sent)}
--- a/place/announce_test.go
+++ b/place/announce_test.go
@@ -21,9 +21,7 @@
 	return b, target
 }
 
-// TestLeavingReport guards against a host that uses a target after another host
-// reported that it leaves, and against a report that makes the target's next
-// incarnation count as leaving.
+// TestLeavingReport guards against a use of targets that told another host that they leave.
 func TestLeavingReport(t *testing.T) {
 	now := time.Unix(0, 0)
 	b, _ := newAnnouncing(t, now)
@@ -36,9 +34,7 @@
 	test.Eq(t, 0, b.Size("p"))
 }
 
-// TestAnnouncedForgotten guards against announcements that are forgotten when the
-// target's entry lapses and returns, that outlive the incarnation, or that are remembered
-// without end.
+// TestAnnouncedForgotten guards against announcements that are lost when an entry lapses.
 func TestAnnouncedForgotten(t *testing.T) {
 	now := time.Unix(0, 0)
 	b, target := newAnnouncing(t, now)
@@ -60,8 +56,7 @@
 	test.MapLen(t, 0, b.former)
 }
 
-// TestPauseLeft guards against callers that are told to stay away for the pause of one
-// target, although another takes requests.
+// TestPauseLeft guards against a Retry-After of one target's pause while others take requests.
 func TestPauseLeft(t *testing.T) {
 	now := time.Unix(0, 0)
 	b, target := newAnnouncing(t, now)
@@ -75,8 +70,7 @@
 	test.Eq(t, time.Minute, b.PauseLeft(now, "p"))
 }
 
-// TestLimitEnds guards against a limit that outlives the target's word, and against an
-// answer from before the limit that ends it.
+// TestLimitEnds guards against a limit that outlives the target's word or ends too early.
 func TestLimitEnds(t *testing.T) {
 	now := time.Unix(0, 0)
 	b, target := newAnnouncing(t, now)
@@ -94,8 +88,7 @@
 	test.False(t, limited())
 }
 
-// TestCutHostUsesAll guards against a host that uses the whole limit of a target while it
-// reaches no other host, or does not know yet which hosts there are.
+// TestCutHostUsesAll guards against a host without contact that uses more or far less than its share.
 func TestCutHostUsesAll(t *testing.T) {
 	const limit, hosts = 5.0, 40.0
 	now := time.Unix(0, 0)
--- a/place/limit_test.go
+++ b/place/limit_test.go
@@ -222,10 +222,7 @@
 	return uses, refused[1] / requests[1], refused[0] / requests[0]
 }
 
-// TestTargetAboveItsLimit guards against a fleet that sends a target more than half as
-// much again as its limit, plus 5 requests, in some 4 s; against one that leaves half of
-// the limits unused while it refuses requests; and against refusing urgent requests before
-// others.
+// TestTargetAboveItsLimit guards against a fleet that exceeds or wastes the limits of targets.
 func TestTargetAboveItsLimit(t *testing.T) {
 	for name, c := range map[string]struct {
 		limitedPool
--- a/proxy/announce_test.go
+++ b/proxy/announce_test.go
@@ -128,8 +128,7 @@
 	t.Fatalf("no request reached target %s", id)
 }
 
-// TestSentToLeavingTarget guards against requests to a target that said in an answer
-// that it leaves, while the list of targets does not say so or loses the entry.
+// TestSentToLeavingTarget guards against requests to a target that said that it leaves.
 func TestSentToLeavingTarget(t *testing.T) {
 	a := newAnnouncers(t, "one", "two")
 	a.announce("one", "Leaving", "1")
@@ -150,8 +149,7 @@
 	a.sendUntilUsed(t, "one")
 }
 
-// TestHeldForLeavingPool guards against a request that waits, or is not refused as
-// certainly not run, although all targets have said that they leave.
+// TestHeldForLeavingPool guards against a request that waits although all targets leave.
 func TestHeldForLeavingPool(t *testing.T) {
 	a := newAnnouncers(t, "one")
 	a.announce("one", "Leaving", "1")
@@ -163,9 +161,7 @@
 	test.Less(t, 500*time.Millisecond, time.Since(started))
 }
 
-// TestSentToPausingTarget guards against requests to a target within the Retry-After of
-// its 503, against requests that wait for the end of the pause, and against a target that
-// stays unused afterwards.
+// TestSentToPausingTarget guards against requests to a target within its Retry-After, and none after it.
 func TestSentToPausingTarget(t *testing.T) {
 	const pause = time.Second
 	a := newAnnouncers(t, "one")
--- a/watch/reader_test.go
+++ b/watch/reader_test.go
@@ -123,9 +123,7 @@
 	return time.Duration(configAt.Load()), time.Duration(targetAt.Load())
 }
 
-// TestLateAfterLostReader guards against a configuration that is not in force, or a
-// leaving target that is used, 2 s after the store acknowledged it, if the only host that
-// read the store was lost right before (checks CONFIG and DRAIN).
+// TestLateAfterLostReader guards against changes that come too late when the only reader is lost.
 func TestLateAfterLostReader(t *testing.T) {
 	const bound = 2 * time.Second
 	var worstConfig, worstTarget time.Duration
@@ -180,9 +178,7 @@
 	return int(s.calls.Load()), time.Duration(known.Load())
 }
 
-// TestAllReadAfterOutage guards against hosts that all read the changed entries from the
-// store as soon as it returns, which fills the link between regions for seconds, although
-// a neighbour is about to relay them; and against a host that waits for a relay in vain.
+// TestAllReadAfterOutage guards against all hosts reading all entries when the store returns.
 func TestAllReadAfterOutage(t *testing.T) {
 	for range 20 {
 		synctest.Test(t, func(t *testing.T) {
--- a/watch/relay_test.go
+++ b/watch/relay_test.go
@@ -224,9 +224,7 @@
 	})
 }
 
-// TestKnownChangeWithheld guards against a change that a host does not get from its
-// neighbour, because the neighbour lost the store between receiving and relaying it
-// (wanjiru-gate-grown: a host used an older configuration than the others for 4.4 s).
+// TestKnownChangeWithheld guards against a change that a neighbour has and does not relay.
 func TestKnownChangeWithheld(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPair(t)
--- a/wire/compress_test.go
+++ b/wire/compress_test.go
@@ -8,8 +8,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// TestLargeAnswers guards against large answers that are sent uncompressed or arrive
-// damaged, and against small ones that are compressed.
+// TestLargeAnswers guards against large answers that are sent uncompressed or arrive damaged.
 func TestLargeAnswers(t *testing.T) {
 	f := startServer(t)
 	text := strings.Repeat(`{"address":"10.1.0.21:8689","state":"ready"}`, 1000)
