watch: a host that loses its reader reads both lists sooner

Cause: if the only host that reads the store is lost right after its last proof, the others find out by the age of the proof, and each reads after a random wait. The targets were read only after the configuration.

Change: relays are checked every 50 ms instead of 100, the random wait is up to 300 ms instead of 400, and the targets are read without waiting for the configuration, once, while the store's last answer is younger than 2 s.

--- a/watch/follow.go
+++ b/watch/follow.go
@@ -70,7 +70,7 @@
 	// the neighbours reach the store the age stays below 1.1 s. A change must be in
 	// force after 2 s, also if the first host lost the store just before it.
 	maxRelayAge    = 1300 * time.Millisecond
-	fallbackSpread = 400 * time.Millisecond
+	fallbackSpread = 300 * time.Millisecond
 	// startWait is the time that a new daemon waits for a relay of the lists:
 	// several messages. A fleet whose hosts all start at once needs longer, and its
 	// hosts read the lists from the store. startPoll is the time between two checks.
@@ -83,7 +83,7 @@
 	returnSpread = 600 * time.Millisecond
 	// relayCheckInterval is how often a daemon that relies on a relay, or has no
 	// reason to call the store, checks whether that still holds.
-	relayCheckInterval = 100 * time.Millisecond
+	relayCheckInterval = 50 * time.Millisecond
 	// maxRemoved is the number of removed entries that are kept for neighbours.
 	maxRemoved = 1000
 )
--- a/watch/targets.go
+++ b/watch/targets.go
@@ -26,6 +26,10 @@
 	renewalTime = 2000 * time.Millisecond
 	// sweepInterval is how often lapsed entries are checked for expiry.
 	sweepInterval = 50 * time.Millisecond
+	// maxCallAge is the age of the last answer of the store to any daemon above which it
+	// counts as away. When relays of the targets end, there is time for one call, which
+	// does not wait for that of the configuration.
+	maxCallAge = 2 * time.Second
 	// maxBehind is how long the watch may stay behind the version that other lists
 	// have seen before it is restarted.
 	maxBehind = time.Second
@@ -79,7 +83,7 @@
 // storeReachable reports whether any daemon has recent answers from the store, or
 // the list was never read. Calls of the ConfigFollower detect that the store
 // answers again, so the targets need no calls of their own for that.
-func (t *Targets) storeReachable() bool { return t.Version() == 0 || t.storeAge() < maxRelayAge }
+func (t *Targets) storeReachable() bool { return t.Version() == 0 || t.storeAge() < maxCallAge }
 
 // Set returns the currently known targets.
 func (t *Targets) Set() TargetSet { return *t.current.Load() }
