--- a/wire/compress.go
+++ b/wire/compress.go
@@ -15,8 +15,7 @@
 	Large() bool
 }
 
-// The default level takes several times the processor time for a tenth less bytes. The
-// error is nil for every valid level.
+// The error is nil for every valid level.
 var _ = gzip.SetLevel(flate.BestSpeed)
 
 // compressIfLarge makes the server compress the answer of the call. Without success the
