caller, proxy, entry: requests behind others, and late ones in a planned stop

The standard library's server reads one request of a connection at a time. A request that was sent behind another began only after the other's answer, with a deadline that counted from there, and a caller that left was not noticed while bytes of a second request waited. A planned stop passed on requests that could not end within the grace and cut them off at its end.

Package caller serves callers: requests of a connection overlap, answers are written in order, only the last one closes, bounds in number and bytes (settings callers.requests, callers.bytes; metric reads_held). A request that may not be repeated waits until all earlier ones were answered. Deadlines count from the arrival of the first byte. A request whose deadline is after the end of a planned stop is refused as not run before it is sent; what still runs at that time is answered 504. fasthttp has net/http's limits; a splitter in front of net/http would need the same parser of frames and could not order the answers. The header of a request is parsed by the standard library after a check of its framing.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -1,14 +1,15 @@
 package entry
 
 import (
+	"cmp"
 	"context"
-	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"rhubarbdrift.example/caller"
 	"rhubarbdrift.example/conf"
 	"rhubarbdrift.example/exch"
 	"rhubarbdrift.example/kernel"
@@ -148,9 +149,10 @@
 	peers := wire.NewServer()
 	relayedLists := &mesh.RelayedLists{Clock: watch.SinceBoot, All: []mesh.List{e.config, e.targets}}
 	mesh.RegisterHandler(peers, e.node, relayedLists)
-	e.callers = &serve.NetHTTP{Name: "callers", Address: e.settings.CallerAddress, Log: e.log, Server: &http.Server{
-		Handler: e.proxy, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: serve.DiscardLogger(),
-	}}
+	e.callers = &serve.NetHTTP{Name: "callers", Address: e.settings.CallerAddress, Log: e.log, Server: caller.New(e.proxy, caller.Limits{
+		HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
+		Requests: cmp.Or(e.settings.CallerRequests, DefaultCallerRequests), Bytes: cmp.Or(e.settings.CallerBytes, DefaultCallerBytes),
+	}, caller.WithLog(e.log), caller.WithMeter(e.meter.Scope()))}
 	steps := []func() error{
 		func() error { return kernel.Provide(e.services, "config", e.config) },
 		func() error { return kernel.Provide(e.services, "targets", e.targets) },
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -33,11 +33,20 @@
 	RetryRatio         float64       // retries for each request to a pool
 	RetryReserve       float64       // retries of a pool in addition to RetryRatio
 
+	CallerRequests int // requests of one connection that are worked on at the same time; 0: DefaultCallerRequests
+	CallerBytes    int // size in bytes of these requests and of their responses that wait; 0: DefaultCallerBytes
+
 	LimitWindow    time.Duration // in which requests are counted against customers' limits
 	LimitOvershoot float64       // share of a limit by which it may be exceeded
 	LimitSlack     float64       // requests by which a limit may be exceeded in addition to LimitOvershoot
 }
 
+// Defaults of the limits on one connection of a caller.
+const (
+	DefaultCallerRequests = 16
+	DefaultCallerBytes    = 256 << 10
+)
+
 // Check returns an error of kind invalid for one of the invalid settings, or nil if
 // all are valid.
 func (s *Settings) Check() error {
@@ -58,12 +67,20 @@
 	if s.KeyRevocationLimit <= 0 || s.Grace <= 0 {
 		return fault.Invalid("bounds", "the lifetime of withdrawn keys or the grace period of a planned stop is not positive", "set both to more than 0")
 	}
+	return s.checkLimits()
+}
+
+// checkLimits checks the limits on requests, as Check does.
+func (s *Settings) checkLimits() error {
 	if s.RetryRatio < 0 || s.RetryReserve < 0 {
 		return fault.Invalid("bounds", "the retry budget is negative", "set it to 0 or more")
 	}
 	if s.LimitWindow <= 0 || s.LimitOvershoot < 0 || s.LimitSlack < 0 {
 		return fault.Invalid("bounds", "the window of limits is not positive or their tolerance is negative", "set the window to more than 0 and the tolerance to 0 or more")
 	}
+	if s.CallerRequests < 0 || s.CallerBytes < 0 {
+		return fault.Invalid("limits of a caller's connection", "the number or the size of its requests is negative", "set both to more than 0, or leave them out")
+	}
 	return nil
 }
 
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -13,6 +13,9 @@
 	// still send new connections after this host reported that it is not ready: two
 	// checks, a second apart.
 	loadBalancerDelay = 2300 * time.Millisecond
+	// answerMargin is the time between the answers to the last requests and the end of
+	// their connections.
+	answerMargin = 200 * time.Millisecond
 	// deregisterTime is reserved at the end of a planned stop for removing this host
 	// from the list of daemons.
 	deregisterTime = 400 * time.Millisecond
@@ -24,14 +27,15 @@
 )
 
 // stop makes a planned stop: it waits until the load balancer sends no more callers,
-// finishes running requests and removes this host from the list of daemons.
+// finishes running requests and removes this host from the list of daemons. Requests that
+// might not end within the grace period are refused as soon as it begins.
 func (e *Entry) stop() {
-	start := time.Now()
+	end := time.Now().Add(e.settings.Grace - deregisterTime)
 	e.stopping.Store(true)
-	e.proxy.Drain()
+	e.proxy.Drain(end.Add(-answerMargin))
 	e.log.Info().Dur("grace", e.settings.Grace).Int64("running", e.proxy.Running()).Msg("planned stop started")
 	time.Sleep(loadBalancerDelay)
-	ctx, cancel := context.WithDeadline(context.Background(), start.Add(e.settings.Grace-deregisterTime))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := e.callers.Shutdown(ctx); err != nil {
 		e.log.Warn().Err(err).Int64("running", e.proxy.Running()).Msg("requests still running at the end of the grace period")
--- a/header/header.go
+++ b/header/header.go
@@ -18,6 +18,7 @@
 var (
 	contentLength    = []byte("content-length")
 	transferEncoding = []byte("transfer-encoding")
+	hostHeader       = []byte("host")
 	chunked          = []byte("chunked")
 )
 
@@ -27,24 +28,40 @@
 	encodings int
 	invalid   bool // a transfer encoding other than chunked, or a list of lengths
 	folded    bool // a header line that continues the previous one
+	spaced    bool // a space before a colon
+	hosts     int
 }
 
 // FramingProblem returns why a request must be refused before any other processing, or
 // "". It prevents request smuggling: if two parsers disagree on where a request
 // ends, the rest could be taken for another caller's request.
 func FramingProblem(h *fasthttp.RequestHeader) string {
-	f := scanFraming(h.RawHeaders())
+	if problem := RawProblem(h.RawHeaders()); problem != "" {
+		return problem
+	}
+	if len(h.Host()) == 0 {
+		return "there is no Host header"
+	}
+	return ""
+}
+
+// RawProblem is FramingProblem for the raw header lines of a request. It does not refuse
+// a request without a Host header.
+func RawProblem(lines []byte) string {
+	f := scanFraming(lines)
 	switch {
 	case f.folded:
 		return "a header line is folded"
+	case f.spaced:
+		return "there is a space before a colon"
 	case f.lengths > 1:
 		return "there is more than one Content-Length"
 	case f.lengths > 0 && f.encodings > 0:
 		return "there are both Content-Length and Transfer-Encoding"
 	case f.encodings > 1 || f.invalid:
 		return "the transfer encoding is not exactly chunked"
-	case len(h.Host()) == 0:
-		return "there is no Host header"
+	case f.hosts > 1:
+		return "there is more than one Host header"
 	default:
 		return ""
 	}
@@ -71,8 +88,9 @@
 		f.folded = true
 		return
 	}
-	name, value, _ := bytes.Cut(line, []byte(":"))
-	name = bytes.TrimSpace(name)
+	raw, value, _ := bytes.Cut(line, []byte(":"))
+	name := bytes.TrimSpace(raw)
+	f.spaced = f.spaced || len(name) != len(raw)
 	switch {
 	case bytes.EqualFold(name, contentLength):
 		f.lengths++
@@ -80,6 +98,8 @@
 	case bytes.EqualFold(name, transferEncoding):
 		f.encodings++
 		f.invalid = f.invalid || !bytes.EqualFold(bytes.TrimSpace(value), chunked)
+	case bytes.EqualFold(name, hostHeader):
+		f.hosts++
 	}
 }
 
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -7,10 +7,12 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
 
+	"rhubarbdrift.example/caller"
 	"rhubarbdrift.example/conf"
 	"rhubarbdrift.example/model"
 	"rhubarbdrift.example/refuse"
@@ -46,14 +48,14 @@
 }
 
 func newCall(p *Proxy, r *http.Request) *call {
-	return &call{proxy: p, request: r, id: r.Header.Get(p.deps.Protocol.Request), start: time.Now()}
+	return &call{proxy: p, request: r, id: r.Header.Get(p.deps.Protocol.Request), start: caller.Arrival(r.Context())}
 }
 
 // serve returns the response, or nil if the caller closed the connection. A request
 // that was refused without a byte sent to a target gives its token of the
 // customer's limit back.
 func (c *call) serve() *response {
-	for _, step := range []func() *response{c.resolveRoute, c.authenticate, c.readBody, c.admit} {
+	for _, step := range []func() *response{c.resolveRoute, c.refuseInStop, c.authenticate, c.readBody, c.awaitTurn, c.refuseLate, c.admit} {
 		if resp := step(); resp != nil {
 			return resp
 		}
@@ -97,6 +99,42 @@
 	return nil
 }
 
+// refuseInStop refuses a request that may not end before the planned stop does. Another
+// daemon can serve it at once.
+func (c *call) refuseInStop() *response {
+	answerBy := c.proxy.answerBy.Load()
+	if answerBy == nil || !c.deadline.After(*answerBy) {
+		return nil
+	}
+	return refusal(refuse.New(refuse.KindBusy, refuse.NotRun, "this daemon stops", "retry, which may reach another daemon"), shortRetryDelay)
+}
+
+// refuseLate refuses a request that waited for its body or for earlier requests of its
+// connection until a target could hardly serve it in time.
+func (c *call) refuseLate() *response {
+	seconds, _ := c.proxy.requestStats.get(c.route)
+	needed := min(time.Duration(seconds*float64(time.Second)), c.deadline.Sub(c.start)) / 2
+	if time.Until(c.deadline) > needed {
+		return nil
+	}
+	return refusal(refuse.New(refuse.KindBusy, refuse.NotRun, "too little time is left", "allow more time, or use another connection"), shortRetryDelay)
+}
+
+// awaitTurn delays a request that must not be repeated until all earlier ones of its
+// connection were answered. If the connection ends before, the caller takes this one as
+// not run.
+func (c *call) awaitTurn() *response {
+	if c.route.Repeatable(c.request.Method) {
+		return nil
+	}
+	ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline)
+	defer cancel()
+	if caller.AwaitTurn(ctx) == nil || c.request.Context().Err() != nil {
+		return nil // run detects that the caller closed the connection
+	}
+	return refusal(refuse.New(refuse.KindBusy, refuse.NotRun, "the earlier requests of the connection took too long", "retry on another connection"), shortRetryDelay)
+}
+
 // refuseUnlessStale returns the refusal, or a retryable one if this daemon's
 // configuration may be too old to contain the route.
 func (c *call) refuseUnlessStale(r *refuse.Refusal) *response {
@@ -181,6 +219,8 @@
 	switch {
 	case c.request.Context().Err() != nil || errors.Is(err, io.ErrUnexpectedEOF):
 		return nil // run detects that the caller closed the connection
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return refusal(refuse.New(refuse.KindBusy, refuse.NotRun, "the body did not arrive in time", "retry"), shortRetryDelay)
 	case err != nil:
 		return refusal(refuse.New(refuse.KindBad, refuse.NotRun, "the body cannot be read", "send a complete body"), 0)
 	case int64(len(body)) > maxBytes:
--- a/proxy/doc.go
+++ b/proxy/doc.go
@@ -2,9 +2,10 @@
 // the customer's limit, sends the request to a target, sends it again where that is
 // safe and useful, and returns the target's complete response or a refusal.
 //
-// The server is the one of the standard library. It reads the connection while a
-// request runs, so a caller that leaves is detected at once, and the target's
-// connection is closed to cancel the request there. Responses are buffered whole
+// The server is that of package caller. It reads the connection while requests run, so a
+// caller that leaves is detected at once, and the target's connection is closed to cancel
+// the request there. Requests that a caller sends behind others are worked on at the same
+// time. One that must not be repeated waits until all earlier ones were answered. Responses are buffered whole
 // before the first byte is sent to the caller. So a broken response can still be
 // replaced by that of another target, and is never mistaken for a complete one.
 //
@@ -14,5 +15,5 @@
 // # Usage
 //
 //	h := proxy.New(proxy.Dependencies{...}, proxy.WithLog(log))
-//	server := &http.Server{Handler: h}
+//	server := caller.New(h, limits)
 package proxy
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -81,8 +82,10 @@
 	log          zerolog.Logger
 	metrics      proxyMetrics
 	requestStats requestStats
-	draining     atomic.Bool
 	running      atomic.Int64
+	drainOnce    sync.Once
+	answerBy     atomic.Pointer[time.Time] // during a planned stop: when all requests must have been answered; nil: no stop
+	stopped      chan struct{}             // closed at that time
 }
 
 type proxyMetrics struct {
@@ -104,7 +107,7 @@
 
 // New returns a Proxy. Without options it neither logs nor records metrics.
 func New(deps Dependencies, options ...Option) *Proxy {
-	p := &Proxy{deps: deps, log: zerolog.Nop(), metrics: newMetrics(tally.NoopScope)}
+	p := &Proxy{deps: deps, log: zerolog.Nop(), metrics: newMetrics(tally.NoopScope), stopped: make(chan struct{})}
 	for _, o := range options {
 		o(p)
 	}
@@ -128,8 +131,26 @@
 	}
 }
 
-// Drain makes all further responses close their connections.
-func (p *Proxy) Drain() { p.draining.Store(true) }
+// Drain begins a planned stop. All further responses close their connections. A request
+// whose deadline is after answerBy is refused before it is sent to a target, since it may
+// not end in time. Requests that still run at answerBy are answered then, although a
+// target may have run them.
+func (p *Proxy) Drain(answerBy time.Time) {
+	p.drainOnce.Do(func() {
+		p.answerBy.Store(&answerBy)
+		time.AfterFunc(time.Until(answerBy), func() { close(p.stopped) })
+	})
+}
+
+// hasStopped reports whether the time for answers in a planned stop has passed.
+func (p *Proxy) hasStopped() bool {
+	select {
+	case <-p.stopped:
+		return true
+	default:
+		return false
+	}
+}
 
 // Running returns the number of requests that have not been answered yet.
 func (p *Proxy) Running() int64 { return p.running.Load() }
@@ -141,7 +162,7 @@
 	defer func() { p.metrics.running.Update(float64(p.running.Add(-1))) }()
 	c := newCall(p, r)
 	resp := c.serve()
-	if p.draining.Load() {
+	if p.answerBy.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	if resp == nil {
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -3,10 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -15,6 +15,7 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"rhubarbdrift.example/caller"
 	"rhubarbdrift.example/conf"
 	"rhubarbdrift.example/exch"
 	"rhubarbdrift.example/health"
@@ -88,6 +89,7 @@
 	age          atomic.Int64
 	holder       *conf.Holder
 	url          string
+	proxy        *Proxy
 }
 
 func newTestProxy(t *testing.T, responses ...string) *testProxy {
@@ -121,9 +123,13 @@
 		ReportLeaving:     func(model.TargetID, int64) {},
 		ReportLimit:       func(model.TargetID, bool, model.Rate) {},
 	})
-	server := httptest.NewServer(p)
-	t.Cleanup(server.Close)
-	tp.url = server.URL
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := caller.New(p, caller.Limits{HeaderBytes: 16 << 10, HeaderTimeout: time.Second, IdleTimeout: time.Minute, Requests: 16, Bytes: 64 << 10})
+	go func() { _ = server.Serve(ln) }()
+	t.Cleanup(func() { _ = server.Close() })
+	tp.url = "http://" + ln.Addr().String()
+	tp.proxy = p
 	return tp
 }
 
@@ -254,3 +260,68 @@
 	test.Eq(t, 900, got["a"])
 	test.Eq(t, 100, got["b"])
 }
+
+// pipeline sends requests on one connection without waiting for responses, and returns the
+// connection.
+func (tp *testProxy) pipeline(t *testing.T, paths ...string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(tp.url, "http://"))
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	for n, path := range paths {
+		_, err = fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: 127.0.0.1\r\nRequest: id-%d\r\nKey: key\r\n\r\n", path, n)
+		must.NoError(t, err)
+	}
+	return c
+}
+
+// TestBehind guards against requests that may be repeated and wait for the one before
+// them, and against others that do not: when a response closes the connection, or the
+// caller leaves, those behind it must not have run.
+func TestBehind(t *testing.T) {
+	tp := newTestProxy(t, "wait")
+	tp.pipeline(t, "/safe/1", "/safe/2", "/once/3")
+	time.Sleep(300 * time.Millisecond)
+	test.Eq(t, 2, tp.targetScript.requests.Load())
+
+	tp = newTestProxy(t, "wait")
+	c := tp.pipeline(t, "/once/1", "/once/2", "/once/3")
+	time.Sleep(300 * time.Millisecond)
+	test.Eq(t, 1, tp.targetScript.requests.Load())
+	_ = c.Close()
+	time.Sleep(time.Second) // until the deadline of all
+	test.Eq(t, 1, tp.targetScript.requests.Load())
+
+	// The wait counts against the deadline: the second is refused when it has passed.
+	tp = newTestProxy(t, "wait")
+	c = tp.pipeline(t, "/once/1", "/once/2")
+	in := bufio.NewReader(c)
+	for _, status := range []int{504, 503} {
+		resp, err := http.ReadResponse(in, nil)
+		must.NoError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		must.NoError(t, err)
+		test.Eq(t, status, resp.StatusCode)
+	}
+	test.Eq(t, 1, tp.targetScript.requests.Load())
+}
+
+// TestRefusedInStop guards against requests that are sent to a target although they may
+// not end before the planned stop does, and against a stop without answers.
+func TestRefusedInStop(t *testing.T) {
+	tp := newTestProxy(t, "wait")
+	running := make(chan int)
+	go func() {
+		status, _, _ := tp.send(t.Context(), t, "/once/", "key")
+		running <- status
+	}()
+	time.Sleep(200 * time.Millisecond)
+	start := time.Now()
+	tp.proxy.Drain(start.Add(500 * time.Millisecond))
+	status, _, header := tp.send(t.Context(), t, "/once/", "key") // its timeout is 1 s
+	test.Eq(t, http.StatusServiceUnavailable, status)
+	test.Eq(t, "not-run", header.Get("Rhubarbdrift-Run"))
+	test.Eq(t, http.StatusGatewayTimeout, <-running)
+	test.Between(t, 450*time.Millisecond, time.Since(start), 700*time.Millisecond)
+	test.Eq(t, 1, tp.targetScript.requests.Load())
+}
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -53,7 +53,7 @@
 	d := &dispatch{call: c, ctx: ctx, seconds: seconds, bytes: bytes, results: make(chan *sendAttempt, maxTriedTargets+1)}
 	c.proxy.deps.Limiter.CountRequest(c.pool)
 	resp := d.loop()
-	if d.inFlight == 0 || resp == nil || ctx.Err() != nil {
+	if d.inFlight == 0 || resp == nil || ctx.Err() != nil || d.proxy.hasStopped() {
 		cancel()
 		return resp
 	}
@@ -89,6 +89,8 @@
 				return nil
 			}
 			return d.finishAtDeadline()
+		case <-d.proxy.stopped:
+			return d.finishAtDeadline()
 		}
 	}
 }
--- a/serve/standard.go
+++ b/serve/standard.go
@@ -5,18 +5,26 @@
 	"errors"
 	"io"
 	stdlog "log"
+	"net"
 	"net/http"
 
 	"github.com/rs/zerolog"
 )
 
-// NetHTTP serves HTTP with the standard library's server, which cancels the
-// context of a running request when its client disconnects. It has no Stop, so the
-// kernel does not end it gracefully; an owner that needs this calls Shutdown.
+// HTTPServer is a server of net/http's handlers: *http.Server or *caller.Server. Serve
+// returns http.ErrServerClosed after Shutdown.
+type HTTPServer interface {
+	Serve(ln net.Listener) error
+	Shutdown(ctx context.Context) error
+	Close() error
+}
+
+// NetHTTP serves HTTP with a server of net/http's handlers. It has no Stop, so the kernel
+// does not end it gracefully; an owner that needs this calls Shutdown.
 type NetHTTP struct {
 	Name    string
 	Address string // IP address and port
-	Server  *http.Server
+	Server  HTTPServer
 	Log     zerolog.Logger
 }
 
@@ -37,7 +45,7 @@
 		}
 		// As in FastHTTP.Run: after Shutdown the other services still run.
 		<-ctx.Done()
-		return nil
+		return s.Server.Close() // the connections that were still in use at the end of Shutdown
 	case <-ctx.Done():
 		return s.Server.Close()
 	}
