--- a/entry/entry.go
+++ b/entry/entry.go
@@ -114,9 +114,9 @@
 		reporter{e.node}.reportDemand(id, urgent)
 	}))
 	e.targets = watch.NewTargets(e.client(targetWait), names.Targets, e.adapter, func(set watch.TargetSet) { e.balancer.Update(time.Now(), set) },
-		func() time.Duration { return e.config.Age() }, func() bool { return e.config.StoreAnswers() }, watch.WithLog(e.log))
-	e.config = watch.NewConfigFollower(e.client(configWait), names.Config, names.ConfigName, e.adapter, e.holder, e.targets, watch.WithLog(e.log))
-	e.hosts = watch.NewHosts(e.client(0), s.meshHost(), watch.WithLog(e.log))
+		func() time.Duration { return e.config.Age() }, func() bool { return e.config.StoreAnswers() }, watch.WithLog(e.log), watch.WithMeter(e.meter.Scope()))
+	e.config = watch.NewConfigFollower(e.client(configWait), names.Config, names.ConfigName, e.adapter, e.holder, e.targets, watch.WithLog(e.log), watch.WithMeter(e.meter.Scope()))
+	e.hosts = watch.NewHosts(e.client(0), s.meshHost(), watch.WithLog(e.log), watch.WithMeter(e.meter.Scope()))
 	e.node = mesh.NewNode(s.meshHost(), time.Now, e.applyReport)
 	e.limits = limit.NewSet(time.Now(), limit.Allowance{Ratio: s.RetryRatio, Reserve: s.RetryReserve},
 		limit.Tolerance{Window: s.LimitWindow, Share: s.LimitOvershoot, Slack: s.LimitSlack}, reporter{e.node})
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -1,9 +1,12 @@
 package mesh
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"rhubarbdrift.example/fault"
 	"rhubarbdrift.example/model"
 )
 
@@ -14,9 +17,10 @@
 // Node is the state of one host in the tree: its links and the reports that
 // wait on them. It opens no connections and is safe for concurrent use.
 type Node struct {
-	self     Host
-	clock    model.Clock
-	onReport func(*Sum)
+	self        Host
+	clock       model.Clock
+	onReport    func(*Sum)
+	incarnation uint64 // identifies this process; never 0
 
 	mu      sync.Mutex
 	links   map[model.HostID]*link
@@ -41,10 +45,25 @@
 	Cores   model.Cores  `json:"power"   cbor:"5,keyasint"` // processor share
 }
 
+// maxCores is above the processor share of any host.
+const maxCores = 1 << 12
+
+// Check returns an error of package fault if the entry names no daemon that can be used.
+func (h *Host) Check() error {
+	switch {
+	case h.ID == "" || h.Region == "" || h.Domain == "":
+		return fault.Invalid("daemon "+string(h.ID), "its id, region or failure domain is empty", "find the program that wrote this entry")
+	case !(h.Cores > 0 && h.Cores <= maxCores):
+		return fault.Invalid("daemon "+string(h.ID), fmt.Sprintf("its processor share %v is not from 0 to %d", h.Cores, maxCores), "find the program that wrote this entry")
+	default:
+		return model.CheckAddress("daemon "+string(h.ID), h.Address)
+	}
+}
+
 // NewNode returns a node without links. It calls onReport with each sum that
 // other hosts report.
 func NewNode(self Host, clock model.Clock, onReport func(*Sum)) *Node {
-	return &Node{self: self, clock: clock, onReport: onReport, links: make(map[model.HostID]*link), started: clock()}
+	return &Node{self: self, clock: clock, onReport: onReport, incarnation: rand.Uint64() | 1, links: make(map[model.HostID]*link), started: clock()}
 }
 
 // Report adds a report of this host to the pending sum of every link.
--- a/mesh/relay.go
+++ b/mesh/relay.go
@@ -72,14 +72,26 @@
 // apply applies a neighbour's updates; see List.ApplyUpdate. It ignores those of a
 // release with other lists.
 func (l *RelayedLists) apply(updates []ListUpdate, known []store.Version, at time.Duration, from model.HostID) {
-	if len(updates) != len(l.All) || len(known) != len(l.All) {
+	if len(l.All) == 0 || len(updates) != len(l.All) || len(known) != len(l.All) {
 		return
 	}
-	for i, list := range l.All {
-		list.ApplyUpdate(&updates[i], known[i], at, from)
+	age := l.Clock() - at
+	for i := range updates {
+		if updates[i].usable(age) {
+			l.All[i].ApplyUpdate(&updates[i], known[i], at, from)
+		}
 	}
 }
 
+// maxAge is above the age of any list.
+const maxAge = model.Millis(365 * 24 * 60 * 60 * 1000)
+
+// usable reports whether an update may be applied that is based on a clock reading of the
+// given age. One from the future would prove for too long that the list is current.
+func (u *ListUpdate) usable(age time.Duration) bool {
+	return age >= 0 && u.Age >= 0 && u.Age <= maxAge
+}
+
 // setFirst calls SetFirst of all lists.
 func (l *RelayedLists) setFirst(first bool) {
 	for _, list := range l.All {
--- a/mesh/run.go
+++ b/mesh/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"rhubarbdrift.example/fault"
 	"rhubarbdrift.example/model"
 	"rhubarbdrift.example/store"
 	"rhubarbdrift.example/wire"
@@ -55,6 +57,24 @@
 	// returns it in its next message, with EchoedVersions, the Versions of that answer.
 	AnsweredAt     time.Duration   `cbor:"5,keyasint,omitempty"`
 	EchoedVersions []store.Version `cbor:"6,keyasint,omitempty"`
+	// Incarnation identifies the process of a parent that answers, and
+	// EchoedIncarnation is that of the answer which the child returns. A reading of the
+	// clock of an earlier process says nothing to a new one.
+	Incarnation       uint64 `cbor:"7,keyasint,omitempty"`
+	EchoedIncarnation uint64 `cbor:"8,keyasint,omitempty"`
+}
+
+// maxHosts is above the number of hosts of any fleet.
+const maxHosts = 1 << 20
+
+// Check implements wire.Checker. What can be left out of a message alone is dropped when
+// it is applied; see Sum.dropOdd and ListUpdate.usable.
+func (m *Message) Check() error {
+	if m.From == "" || len(m.From) > store.MaxName || m.Sum.Hosts < 0 || m.Sum.Hosts > maxHosts || m.Sum.New < 0 || m.Sum.New > maxHosts {
+		return fault.Invalid("mesh message", fmt.Sprintf("it comes from %.40q, with %d hosts of which %d are new", m.From, m.Sum.Hosts, m.Sum.New), "run compatible versions of rhubarbdrift on all hosts")
+	}
+	m.Sum.dropOdd()
+	return nil
 }
 
 // largeMessage is the number of entries from which a message counts as large. Hosts with
@@ -72,11 +92,19 @@
 
 // RegisterHandler registers the handler for messages from children.
 func RegisterHandler(s *wire.Server, n *Node, l *RelayedLists) {
-	wire.Handle(s, method, func(_ context.Context, m *Message) (*Message, error) {
-		n.Receive(m.From, &m.Sum)
+	wire.Handle(s, method, func(_ context.Context, m *Message) (*Message, error) { return n.answer(l, m), nil })
+}
+
+// answer processes a message from a child and returns the answer to it.
+func (n *Node) answer(l *RelayedLists, m *Message) *Message {
+	n.Receive(m.From, &m.Sum)
+	if m.EchoedIncarnation == n.incarnation {
 		l.apply(m.Updates, m.EchoedVersions, m.AnsweredAt, m.From)
-		return &Message{From: n.self.ID, Sum: n.TakePending(m.From), Versions: l.known(), Updates: l.since(m.Versions, m.From), AnsweredAt: l.Clock()}, nil
-	})
+	}
+	return &Message{
+		From: n.self.ID, Sum: n.TakePending(m.From), Versions: l.known(), Updates: l.since(m.Versions, m.From),
+		AnsweredAt: l.Clock(), Incarnation: n.incarnation,
+	}
 }
 
 // Runner selects the node's parent and exchanges messages with it.
@@ -192,6 +220,7 @@
 	out := &Message{From: r.node.self.ID, Sum: r.node.TakePending(h.ID), Versions: known}
 	if r.answer != nil && r.answer.From == h.ID {
 		out.Updates, out.EchoedVersions, out.AnsweredAt = r.lists.offer(r.answer), r.answer.Versions, r.answer.AnsweredAt
+		out.EchoedIncarnation = r.answer.Incarnation
 	}
 	answer, err := wire.Call[Message, Message](ctx, r.pool.Client(h.Address), method, out)
 	if err != nil {
--- a/mesh/run_test.go
+++ b/mesh/run_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 	"time"
 
@@ -76,3 +77,35 @@
 	r.handleAnswer("dark", &Message{From: "dark"}, nil, 0)
 	test.False(t, r.inBackoff("dark"))
 }
+
+// TestEarlierClock guards against a proof that a list is current which counts from a
+// reading of the clock in the future, or of an earlier process: withdrawn keys would stay
+// in use for the difference.
+func TestEarlierClock(t *testing.T) {
+	parent := &recordingList{at: 3}
+	lists := &RelayedLists{Clock: func() time.Duration { return time.Minute }, All: []List{parent}}
+	update := []ListUpdate{{Version: 5, Age: 1}}
+	lists.apply(update, []store.Version{3}, time.Hour, "child") // the machine has restarted since
+	lists.apply([]ListUpdate{{Version: 5, Age: -1000}}, []store.Version{3}, 0, "child")
+	lists.apply([]ListUpdate{{Version: 5, Age: 1 << 62}}, []store.Version{3}, 0, "child")
+	test.Eq(t, 3, parent.at)
+
+	n := NewNode(Host{ID: "parent", Region: "r"}, time.Now, func(*Sum) {})
+	before := n.answer(lists, &Message{From: "child", Versions: []store.Version{5}})
+	restarted := NewNode(Host{ID: "parent", Region: "r"}, time.Now, func(*Sum) {})
+	late := &Message{From: "child", Updates: update, EchoedVersions: before.Versions, AnsweredAt: before.AnsweredAt, EchoedIncarnation: before.Incarnation}
+	restarted.answer(lists, late)
+	test.Eq(t, 3, parent.at)
+	n.answer(lists, late)
+	test.Eq(t, 5, parent.at)
+}
+
+// TestOddMessage guards against messages with numbers that sums do not bear.
+func TestOddMessage(t *testing.T) {
+	for _, m := range []Message{{}, {From: model.HostID(strings.Repeat("n", 2000))}, {From: "a", Sum: Sum{Hosts: -1}}, {From: "a", Sum: Sum{New: 1 << 60}}} {
+		test.Error(t, m.Check())
+	}
+	m := Message{From: "a", Sum: Sum{Targets: map[model.TargetID]TargetCounts{"sound": {Good: 1}, "": {Good: 1}, "early": {Leaving: -1}, "late": {Leaving: 1 << 62}}}}
+	test.NoError(t, m.Check())
+	test.MapLen(t, 1, m.Sum.Targets)
+}
--- a/mesh/sum.go
+++ b/mesh/sum.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/store"
 )
 
 // TargetCounts counts what exchanges with one target showed.
@@ -74,6 +75,31 @@
 	Pools     map[model.PoolID]Usage          `cbor:"4,keyasint,omitempty"`
 }
 
+// maxStartedAt is above every start time of a target, in Unix milliseconds.
+const maxStartedAt = 1 << 53
+
+// dropOdd removes the counts of targets, customers and pools whose name or start time no
+// object can have.
+func (s *Sum) dropOdd() {
+	for id, t := range s.Targets {
+		if !isName(string(id)) || t.Leaving < 0 || t.Leaving > maxStartedAt {
+			delete(s.Targets, id)
+		}
+	}
+	for id := range s.Customers {
+		if !isName(string(id)) {
+			delete(s.Customers, id)
+		}
+	}
+	for id := range s.Pools {
+		if !isName(string(id)) {
+			delete(s.Pools, id)
+		}
+	}
+}
+
+func isName(text string) bool { return text != "" && len(text) <= store.MaxName }
+
 // AddTarget adds counts of a target. A known load or limit replaces the previous one.
 func (s *Sum) AddTarget(id model.TargetID, t TargetCounts) {
 	if s.Targets == nil {
--- a/model/check.go
+++ b/model/check.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 
 	"github.com/tailscale/hujson"
@@ -174,12 +175,11 @@
 	if t.ID == "" {
 		return fault.Invalid("target id", "is empty", "give each target an id")
 	}
-	host, _, err := net.SplitHostPort(t.Address)
-	if err != nil || net.ParseIP(host) == nil {
-		return fault.Invalid(field("target", string(t.ID), "address"), fmt.Sprintf("%q is not an IP address and port", t.Address), "write it as 10.0.0.1:8080")
+	if err := CheckAddress(field("target", string(t.ID), "address"), t.Address); err != nil {
+		return err
 	}
-	if t.Slots < 1 {
-		return fault.Invalid(field("target", string(t.ID), "slots"), "must be at least 1", "set the number of concurrent requests that the target serves")
+	if t.Slots < 1 || t.Slots > maxSlots {
+		return fault.Invalid(field("target", string(t.ID), "slots"), fmt.Sprintf("must be from 1 to %d", maxSlots), "set the number of concurrent requests that the target serves")
 	}
 	if t.Connections < 0 {
 		return fault.Invalid(field("target", string(t.ID), "connections"), "must not be negative", "remove the field or set a cap")
@@ -187,6 +187,40 @@
 	return nil
 }
 
+// maxSlots is above the number of slots of any target. Sums of slots stay far below the
+// largest integer.
+const maxSlots = 1 << 20
+
+// Bounds of an instance: its start lies between 1970 and 2200, and no target is slow for
+// longer than a day after its start.
+const (
+	maxStartedAt        = 7_258_118_400_000
+	maxWarmUp    Millis = 24 * 60 * 60 * 1000
+)
+
+// Check returns an error of package fault for a target that cannot be used, or whose
+// numbers are outside of what calculations with them allow.
+func (i *Instance) Check() error {
+	if i.WarmUp < 0 || i.WarmUp > maxWarmUp {
+		return fault.Invalid(field("target", string(i.ID), "slow phase"), fmt.Sprintf("%d ms is not from 0 to %d", i.WarmUp, maxWarmUp), "correct the entry")
+	}
+	if i.StartedAt < 0 || i.StartedAt > maxStartedAt {
+		return fault.Invalid(field("target", string(i.ID), "start time"), fmt.Sprintf("%d is not from 0 to %d", i.StartedAt, int64(maxStartedAt)), "correct the entry")
+	}
+	return i.Target.Check()
+}
+
+// CheckAddress returns an error for an address that is not an IP address and a port from 1
+// to 65535.
+func CheckAddress(what, address string) error {
+	host, port, err := net.SplitHostPort(address)
+	number, portErr := strconv.ParseUint(port, 10, 16)
+	if err != nil || net.ParseIP(host) == nil || portErr != nil || number == 0 {
+		return fault.Invalid(what, fmt.Sprintf("%.80q is not an IP address and port", address), "write it as 10.0.0.1:8080")
+	}
+	return nil
+}
+
 func (in *Intent) checkRoutes(customers map[CustomerID]bool, pools map[PoolID]bool) error {
 	seen := make(map[RouteID]bool, len(in.Routes))
 	paths := make(map[string]RouteID)
--- a/store/client.go
+++ b/store/client.go
@@ -140,8 +140,22 @@
 		if !l.More || len(l.Objects) == 0 {
 			return objects, version, nil
 		}
-		page.After = l.Objects[len(l.Objects)-1].Name
+		if page.After, err = lastName(l.Objects, page.After); err != nil {
+			return nil, 0, err
+		}
+	}
+}
+
+// lastName returns the name with which a list continues: the last one of a page that could
+// be read. What follows it on the page is read again with the next one. The page began
+// after the name previous.
+func lastName(objects []Object, previous string) (string, error) {
+	for i := len(objects) - 1; i >= 0; i-- {
+		if name := objects[i].Name; name != "" && name != previous {
+			return name, nil
+		}
 	}
+	return "", ErrUnavailable("a page of the list has no name that can be read")
 }
 
 // Put implements Store.
--- a/store/dialect.go
+++ b/store/dialect.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/url"
 	"strconv"
 	"time"
@@ -75,10 +76,67 @@
 
 func (objapiDialect) Hosts() Request { return Request{Method: fasthttp.MethodGet, Path: "/hosts"} }
 
-func (objapiDialect) Object(_ Kind, body []byte) (Object, error)   { return decode[Object](body) }
-func (objapiDialect) Listing(_ Kind, body []byte) (Listing, error) { return decode[Listing](body) }
-func (objapiDialect) Changes(_ Kind, body []byte) (Changes, error) { return decode[Changes](body) }
-func (objapiDialect) HostList(body []byte) ([]Host, error)         { return decode[[]Host](body) }
+func (objapiDialect) Object(_ Kind, body []byte) (Object, error) { return decode[Object](body) }
+
+func (objapiDialect) Listing(kind Kind, body []byte) (Listing, error) {
+	members, err := Members(body)
+	if err != nil {
+		return Listing{}, err
+	}
+	objects, errObjects := ReadItems(kind, members["objects"], decodeObject)
+	version, errVersion := Field[Version](members, "version")
+	more, errMore := Field[bool](members, "more")
+	return Listing{Objects: objects, Version: version, More: more}, errors.Join(errObjects, errVersion, errMore)
+}
+
+func (objapiDialect) Changes(kind Kind, body []byte) (Changes, error) {
+	members, err := Members(body)
+	if err != nil {
+		return Changes{}, err
+	}
+	events, errEvents := ReadEvents(kind, members["events"], func(item []byte) (Object, bool, error) {
+		fields, err := Members(item)
+		if err != nil {
+			return Object{}, false, err
+		}
+		removed, errRemoved := Field[bool](fields, "deleted")
+		o, errObject := decodeObject(fields["object"])
+		return o, removed, errors.Join(errRemoved, errObject)
+	})
+	version, errVersion := Field[Version](members, "version")
+	return Changes{Events: events, Version: version}, errors.Join(errEvents, errVersion)
+}
+
+// decodeObject decodes an object of a list. With an error it returns at least the name, if
+// that can be read.
+func decodeObject(item []byte) (Object, error) {
+	fields, err := Members(item)
+	if err != nil {
+		return Object{}, err
+	}
+	name, errName := Field[string](fields, "name")
+	o, err := decode[Object](item)
+	if err != nil {
+		return Object{Name: name}, errors.Join(err, errName)
+	}
+	return o, nil
+}
+
+func (objapiDialect) HostList(body []byte) ([]Host, error) {
+	items, err := Elements(body)
+	if err != nil {
+		return nil, err
+	}
+	hosts := make([]Host, 0, len(items))
+	for _, item := range items {
+		// An entry that cannot be read names no host to use; the others hold.
+		if h, err := decode[Host](item); err == nil && h.ID != "" {
+			hosts = append(hosts, h)
+		}
+	}
+	return hosts, nil
+}
+
 func (objapiDialect) Written(body []byte) (Version, error) {
 	a, err := decode[Answer](body)
 	return a.Version, err
--- a/store/store.go
+++ b/store/store.go
@@ -57,6 +57,9 @@
 	Name    string  `json:"name"`
 	Version Version `json:"version"`
 	Value   []byte  `json:"value"`
+	// Problem says why the object could not be read; it then has no value. The name is
+	// empty if that could not be read either, and may be longer than MaxName.
+	Problem string `json:"-"`
 }
 
 // Event is one change of an object that a watch returns.
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"rhubarbdrift.example/fault"
 	"rhubarbdrift.example/model"
@@ -41,19 +43,25 @@
 
 type options struct {
 	log       zerolog.Logger
+	odd       tally.Counter // entries that were left out because they could not be read
 	sinceBoot func() time.Duration
 }
 
 // WithLog sets the logger.
 func WithLog(l zerolog.Logger) Option { return func(o *options) { o.log = l } }
 
+// WithMeter sets the scope in which metrics are registered.
+func WithMeter(s tally.Scope) Option {
+	return func(o *options) { o.odd = s.SubScope("store").Counter("odd_entries") }
+}
+
 // WithClock replaces the clock, by default SinceBoot. It must count the time during which
 // the machine is suspended.
 func WithClock(clock func() time.Duration) Option { return func(o *options) { o.sinceBoot = clock } }
 
 // newOptions returns the defaults with the options applied.
 func newOptions(opts []Option) options {
-	o := options{log: zerolog.Nop(), sinceBoot: SinceBoot}
+	o := options{log: zerolog.Nop(), odd: tally.NoopScope.Counter("odd"), sinceBoot: SinceBoot}
 	for _, set := range opts {
 		set(&o)
 	}
@@ -94,6 +102,7 @@
 	options
 	source       Watcher
 	kind         store.Kind
+	maxValue     int                        // size in bytes above which an entry is not read
 	delay        time.Duration              // wait after changes, so that one call reads several
 	onList       func([]store.Object)       // applies a complete list
 	onEvents     func([]store.Event)        // applies changes
@@ -109,6 +118,7 @@
 	records      map[string]record
 	floor        store.Version // version from which on records holds all removals
 	removedCount int           // number of records of removed entries
+	odd          oddEntries    // entries that cannot be read
 
 	failures   int           // consecutive failed calls
 	completeAt atomic.Int64  // boot time at which the list was known to be complete; 0: never
@@ -126,7 +136,7 @@
 
 // newFollower returns a follower whose callbacks the caller may replace before run.
 func newFollower(source Watcher, kind store.Kind, delay time.Duration, o options) *follower {
-	f := &follower{options: o, source: source, kind: kind, delay: delay, restart: make(chan struct{}, 1),
+	f := &follower{options: o, source: source, kind: kind, maxValue: store.MaxValue, odd: oddEntries{options: o}, delay: delay, restart: make(chan struct{}, 1),
 		beforeApply: func() {}, afterApply: func() {}, records: make(map[string]record)}
 	f.storeAge = f.age
 	f.mayCall, f.storeAnswers = f.always, f.always
@@ -294,11 +304,15 @@
 // replaceList replaces all records by a complete list. The caller holds f.mu.
 func (f *follower) replaceList(objects []store.Object, version store.Version) {
 	f.records = make(map[string]record, len(objects))
+	sound := make([]store.Object, 0, len(objects))
 	for i := range objects {
-		f.records[objects[i].Name] = record{event: store.Event{Object: objects[i]}, updateVersion: version}
+		if o := objects[i]; f.readable(&o) {
+			f.records[o.Name] = record{event: store.Event{Object: o}, updateVersion: version}
+			sound = append(sound, o)
+		}
 	}
 	f.version, f.floor, f.removedCount = version, version, 0
-	f.onList(objects)
+	f.onList(sound)
 }
 
 // applyEvents applies changes up to a version. The caller holds f.mu.
@@ -307,7 +321,14 @@
 	if len(events) == 0 {
 		return
 	}
+	changes := make([]store.Event, 0, len(events))
 	for _, e := range events {
+		if !e.Deleted && !f.readable(&e.Object) {
+			e.Deleted = true // it names nothing to use, as if it had been removed
+		}
+		if e.Object.Name == "" || len(e.Object.Name) > store.MaxName {
+			continue
+		}
 		if f.records[e.Object.Name].event.Deleted {
 			f.removedCount--
 		}
@@ -316,11 +337,27 @@
 			e.Object.Value = nil
 		}
 		f.records[e.Object.Name] = record{event: e, updateVersion: version}
+		changes = append(changes, e)
 	}
 	if f.removedCount > maxRemoved {
 		f.dropRemoved()
 	}
-	f.onEvents(events)
+	f.onEvents(changes)
+}
+
+// readable reports whether an entry can be read, and records it if not.
+func (f *follower) readable(o *store.Object) bool {
+	switch {
+	case o.Problem != "":
+	case o.Name == "" || len(o.Name) > store.MaxName:
+		o.Problem = "its name is empty or too long"
+	case len(o.Value) > f.maxValue:
+		o.Problem = fmt.Sprintf("its value has %d bytes, more than %d", len(o.Value), f.maxValue)
+	default:
+		return true
+	}
+	f.odd.add(f.kind, o, o.Problem)
+	return false
 }
 
 // dropRemoved drops the records of removed entries. Neighbours whose copy is older
--- a/watch/hosts.go
+++ b/watch/hosts.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -36,14 +38,15 @@
 	options
 	source     HostStore
 	self       mesh.Host
+	odd        oddEntries // entries that cannot be read; used by Run alone
 	current    atomic.Pointer[[]mesh.Host]
 	ownVersion atomic.Uint64 // version of this daemon's entry in the store; 0: none
 }
 
 // NewHosts returns the list of daemons, which is empty until Run has read it.
 func NewHosts(source HostStore, self mesh.Host, opts ...Option) *Hosts {
-	h := &Hosts{options: newOptions(opts), source: source, self: self}
-	return h
+	o := newOptions(opts)
+	return &Hosts{options: o, odd: oddEntries{options: o}, source: source, self: self}
 }
 
 // All returns the known daemons, this one included, or nil before the list was
@@ -125,15 +128,19 @@
 		if objects[i].Name == string(h.self.ID) {
 			own = objects[i].Version
 		}
-		var other mesh.Host
-		if err := json.Unmarshal(objects[i].Value, &other); err != nil || other.Address == "" {
-			h.log.Warn().Err(err).Str("entry", objects[i].Name).Msg("unreadable daemon entry ignored")
+		other, err := decodeHost(&objects[i])
+		if err == nil && other.ID == h.self.ID {
+			listed = other == h.self
 			continue
 		}
-		if other.ID == h.self.ID {
-			listed = other == h.self
+		if err == nil {
+			err = other.Check()
+		}
+		if err != nil {
+			h.odd.add(KindHost, &objects[i], err.Error())
 			continue
 		}
+		h.odd.remove(objects[i].Name)
 		list = append(list, other)
 	}
 	if exact {
@@ -145,3 +152,21 @@
 	h.current.Store(&list)
 	return listed, nil
 }
+
+// decodeHost decodes the entry of a daemon.
+func decodeHost(o *store.Object) (mesh.Host, error) {
+	var host mesh.Host
+	if o.Problem != "" {
+		return host, errors.New(o.Problem)
+	}
+	if _, err := store.Members(o.Value); err != nil {
+		return host, err
+	}
+	if err := json.Unmarshal(o.Value, &host); err != nil {
+		return host, err
+	}
+	if string(host.ID) != o.Name {
+		return host, fmt.Errorf("it names the daemon %.40q", host.ID)
+	}
+	return host, nil
+}
--- a/watch/hosts_test.go
+++ b/watch/hosts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -64,3 +65,33 @@
 		stop()
 	})
 }
+
+// TestOddHosts guards against an odd entry among those of the daemons that is used, or
+// keeps the others from being read.
+func TestOddHosts(t *testing.T) {
+	s := memHostStore{store.NewMem()}
+	for name, value := range map[string]string{
+		"sound":   `{"id":"sound","region":"r","domain":"d","address":"10.0.0.1:7360","power":0.32}`,
+		"port":    `{"id":"port","region":"r","domain":"d","address":"10.0.0.1:73600","power":0.32}`,
+		"host":    `{"id":"host","region":"r","domain":"d","address":"here:7360","power":0.32}`,
+		"power":   `{"id":"power","region":"r","domain":"d","address":"10.0.0.1:7360","power":1e300}`,
+		"endless": `{"id":"endless","region":"r","domain":"d","address":"10.0.0.1:7360","power":1e999}`,
+		"none":    `{"id":"none","region":"r","domain":"d","address":"10.0.0.1:7360","power":0}`,
+		"domain":  `{"id":"domain","region":"r","address":"10.0.0.1:7360","power":0.32}`,
+		"other":   `{"id":"sound","region":"r","domain":"d","address":"10.0.0.9:7360","power":0.32}`,
+		"twice":   `{"id":"twice","region":"r","domain":"d","address":"10.0.0.1:7360","power":0.32,"power":3200}`,
+		"deep":    strings.Repeat("[", 12000) + strings.Repeat("]", 12000),
+		"text":    `"text"`,
+	} {
+		_, err := s.Put(t.Context(), KindHost, name, []byte(value), 0)
+		test.NoError(t, err)
+	}
+	h := NewHosts(s, mesh.Host{ID: "self", Region: "r", Domain: "d", Address: "10.0.0.2:7360", Cores: 0.32})
+	_, err := h.read(t.Context(), true)
+	test.NoError(t, err)
+	var ids []string
+	for _, other := range h.All() {
+		ids = append(ids, string(other.ID)+" "+other.Address)
+	}
+	test.Eq(t, []string{"self 10.0.0.2:7360", "sound 10.0.0.1:7360"}, ids)
+}
--- a/watch/targets.go
+++ b/watch/targets.go
@@ -40,6 +40,10 @@
 	Target(name string, value []byte) (model.Instance, error)
 }
 
+// maxTargetValue is the size in bytes above which an entry is not one of a target. Entries
+// are relayed to all hosts.
+const maxTargetValue = 16 << 10
+
 // TargetSet holds the targets of all pools at one time. It is immutable.
 type TargetSet map[model.PoolID][]*model.Instance
 
@@ -69,6 +73,7 @@
 // watch alone does not show that: without changes it may wait on a dead connection.
 func NewTargets(source Watcher, kind store.Kind, d TargetDecoder, notify func(TargetSet), storeAge func() time.Duration, storeAnswers func() bool, opts ...Option) *Targets {
 	t := &Targets{follower: newFollower(source, kind, targetDelay, newOptions(opts)), decoder: d, notify: notify, entries: make(map[string]*entry)}
+	t.maxValue = maxTargetValue
 	t.onList, t.onEvents, t.storeAge, t.mayCall, t.storeAnswers = t.replace, t.update, storeAge, t.storeReachable, storeAnswers
 	t.current.Store(&TargetSet{})
 	return t
@@ -137,6 +142,9 @@
 		if events[i].Deleted || !t.put(o) {
 			t.remove(o.Name)
 		}
+		if events[i].Deleted && o.Problem == "" {
+			t.odd.remove(o.Name)
+		}
 	}
 	t.publish()
 }
@@ -164,9 +172,10 @@
 func (t *Targets) put(o *store.Object) bool {
 	target, err := t.decoder.Target(o.Name, o.Value)
 	if err != nil {
-		t.log.Warn().Err(err).Str("entry", o.Name).Uint64("revision", uint64(o.Version)).Msg("unreadable target entry ignored")
+		t.odd.add(t.kind, o, err.Error())
 		return false
 	}
+	t.odd.remove(o.Name)
 	old := t.entries[o.Name]
 	if old == nil || old.target.Leaving != target.Leaving || old.target.Address != target.Address || old.target.StartedAt != target.StartedAt {
 		t.log.Info().Str("target", string(target.ID)).Str("pool", string(target.Pool)).Str("address", target.Address).
--- a/watch/targets_test.go
+++ b/watch/targets_test.go
@@ -1,14 +1,17 @@
 package watch
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rs/zerolog"
 	"github.com/shoenig/test"
 
 	"rhubarbdrift.example/model"
@@ -153,6 +156,41 @@
 	})
 }
 
+// TestOddEntries guards against a target that stays in use when its entry becomes odd,
+// against one that is not used when the entry is sound again, and against odd entries
+// that are logged or counted at each of their changes.
+func TestOddEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScriptedStore("a", "b")
+		targets := startTargets(t, s)
+		test.Eq(t, 2, targets())
+		for _, odd := range []store.Object{
+			{Name: "b", Problem: "nested too deeply"},
+			{Name: "b", Value: []byte(strings.Repeat("[", maxTargetValue+1))},
+			{Name: "b", Value: []byte(`{}`)},
+			{Name: "", Problem: "no name"},
+			{Name: strings.Repeat("n", store.MaxName+1), Value: []byte(`{}`)},
+		} {
+			s.events <- []store.Event{{Object: odd}}
+			time.Sleep(time.Second)
+			test.Eq(t, 1, targets())
+		}
+		s.events <- []store.Event{{Object: entryOf("b", false)}}
+		time.Sleep(time.Second)
+		test.Eq(t, 2, targets())
+	})
+
+	var log bytes.Buffer
+	odd := oddEntries{options: newOptions([]Option{WithLog(zerolog.New(&log))})}
+	for range 3 {
+		odd.add("targets", &store.Object{Name: "b"}, "one")
+	}
+	odd.add("targets", &store.Object{Name: "b"}, "two")
+	odd.remove("b")
+	odd.add("targets", &store.Object{Name: "b"}, "two")
+	test.Eq(t, 3, strings.Count(log.String(), "odd entry left out"))
+}
+
 // TestSilentWatch guards against a watch that never returns while other lists
 // show that the store changed (wanjiru-gate scale-2: check DRAIN after 12 s).
 func TestSilentWatch(t *testing.T) {
