limit, entry: a host that was paused uses only its own share of the limits

A host that was stopped or suspended for seconds kept the tokens that it held before, and filled its buckets for the time of the pause, until the next update of its share, up to 50 ms later; on a suspended machine the steady clock does not even show the pause. The others had used the limit meanwhile. The requests that waited at its port were admitted at once.

Change. limit.PauseGuard compares readings of the clock that counts suspension. A second without an update is a pause, and before any further use the customers' limits, targets' limits and retry budgets are cut to the share of this host alone.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -78,6 +78,7 @@
 	targets    *watch.Targets
 	hosts      *watch.Hosts
 	limits     *limit.Set
+	pauses     *limit.PauseGuard
 	node       *mesh.Node
 	exchange   *exch.Client
 	proxy      *proxy.Proxy
@@ -120,6 +121,7 @@
 	e.node = mesh.NewNode(s.meshHost(), time.Now, e.applyReport)
 	e.limits = limit.NewSet(time.Now(), limit.Allowance{Ratio: s.RetryRatio, Reserve: s.RetryReserve},
 		limit.Tolerance{Window: s.LimitWindow, Share: s.LimitOvershoot, Slack: s.LimitSlack}, reporter{e.node})
+	e.pauses = limit.NewPauseGuard(watch.SinceBoot, e.limitAfterPause)
 	e.exchange = exch.New(exch.WithHeaders(e.adapter.Headers()), exch.WithConnectTimeout(connectTimeout), exch.WithIdleTimeout(idleTimeout),
 		exch.WithMaxBuffered(maxAnswerBytes), exch.WithMaxConnections(maxTargetConnections))
 	e.proxy = proxy.New(proxy.Dependencies{
@@ -127,7 +129,7 @@
 		Snapshot:          e.holder.Current,
 		ConfigAge:         e.config.Age,
 		MaxKeyAge:         s.KeyRevocationLimit - keyMargin,
-		Limiter:           e.limits,
+		Limiter:           guardedLimits{Set: e.limits, pauses: e.pauses},
 		Balancer:          e.balancer,
 		Exchange:          e.exchange,
 		ReportObservation: reporter{e.node}.reportExchange,
--- a/entry/share.go
+++ b/entry/share.go
@@ -110,14 +110,51 @@
 	}
 }
 
+// guardedLimits is the proxy's limiter. It checks for a pause of this host before each use
+// of a limit.
+type guardedLimits struct {
+	*limit.Set
+	pauses *limit.PauseGuard
+}
+
+// Admit implements proxy.Limiter.
+func (l guardedLimits) Admit(now time.Time, c *model.Customer) (retryDelay time.Duration, ok bool) {
+	l.pauses.Check()
+	return l.Set.Admit(now, c)
+}
+
+// Retry implements proxy.Limiter.
+func (l guardedLimits) Retry(id model.PoolID, keepShare float64) bool {
+	l.pauses.Check()
+	return l.Set.Retry(id, keepShare)
+}
+
+// limitAfterPause keeps this host to its own share of all limits, until the next update of
+// the share: the others may have used all but that during the pause.
+func (e *Entry) limitAfterPause() {
+	known := len(e.hosts.All())
+	if known == 0 {
+		return // nothing is admitted yet
+	}
+	e.log.Warn().Int("known", known).Msg("this host was paused; limits are kept to its own share")
+	e.setShare(1/float64(known), 0)
+}
+
+// setShare sets the share of the limits that this daemon may use, and the share of hosts
+// that started recently.
+func (e *Entry) setShare(share, newShare float64) {
+	now := time.Now()
+	e.balancer.SetFleetShare(now, share)
+	e.limits.SetReachable(now, limit.Reachable{Share: share, NewShare: newShare})
+}
+
 // updateShare periodically sets the share of the limits that this daemon may use:
 // the part of the fleet whose reports reach it. It returns nil when ctx ends.
 func (e *Entry) updateShare(ctx context.Context) error {
 	t := time.NewTicker(shareInterval)
 	defer t.Stop()
 	previous := 0.0
-	e.balancer.SetFleetShare(time.Now(), 0)
-	e.limits.SetReachable(time.Now(), limit.Reachable{}) // nothing is admitted before the list of daemons is known
+	e.setShare(0, 0) // nothing is admitted before the list of daemons is known
 	for {
 		select {
 		case <-ctx.Done():
@@ -126,6 +163,7 @@
 		}
 		known := len(e.hosts.All())
 		if known == 0 {
+			e.pauses.Confirm()
 			continue
 		}
 		share := min(1, float64(e.node.CountHosts())/float64(known))
@@ -133,8 +171,8 @@
 			e.log.Info().Float64("part", share).Int("known", known).Msg("part of the fleet heard changed")
 			previous = share
 		}
-		e.balancer.SetFleetShare(time.Now(), share)
-		e.limits.SetReachable(time.Now(), limit.Reachable{Share: share, NewShare: min(1, float64(e.node.CountNew())/float64(known))})
+		e.pauses.Confirm()
+		e.setShare(share, min(1, float64(e.node.CountNew())/float64(known)))
 		e.shareKnown.Store(true)
 	}
 }
