wire, gate, proxy, mesh, watch: an unexpected error ends one request, not the process

A panic in the handler of a message between daemons, of a caller's request in the product's own body, or in an exchange with a target ended the process, and with it every request that it served.

Evidence. wire TestPanic ends the test process on ("panic: test"). The servers of the standard library and of package caller recovered already.

Handlers are protected one message at a time; an exchange that panicked counts as one that may have run. Locks around what messages change are released by defer, so that a recovered panic leaves no list locked.

Result. wire, gate and proxy TestPanic pass: the next message and request are served, "unknown" is said.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -134,6 +135,7 @@
 func (g *Gate) handle(ctx *fasthttp.RequestCtx) {
 	g.addRunning()
 	defer g.removeRunning()
+	defer g.recoverRequest(ctx)
 	c := &call{gate: g, ctx: ctx, start: time.Now()}
 	if refused := c.serve(); refused != nil {
 		g.refuse(ctx, refused)
@@ -143,6 +145,18 @@
 	}
 }
 
+// recoverRequest answers a request whose handling panicked, so that one request does not end
+// the process.
+func (g *Gate) recoverRequest(ctx *fasthttp.RequestCtx) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	g.log.Error().Any("cause", cause).Str("stack", string(debug.Stack())).Msg("request failed")
+	g.refuse(ctx, refuse.New(refuse.KindTarget, refuse.Unknown, "an unexpected error", "ask for the state before sending the request again"))
+	ctx.SetConnectionClose()
+}
+
 // addRunning counts a request or an exchange as running. Exchanges count on their
 // own because an answer may still be streaming after its request was handled.
 func (g *Gate) addRunning() { g.counters.running.Update(float64(g.running.Add(1))) }
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -352,6 +352,19 @@
 	must.EqOp(t, 200, (<-answers).StatusCode())
 }
 
+// TestPanic guards against a request that ends the process.
+func TestPanic(t *testing.T) {
+	tg := newTestGate(t, respondHello)
+	snapshot := tg.gate.deps.Snapshot
+	tg.gate.deps.Snapshot = func() *conf.Snapshot { panic("test") }
+	resp, _ := tg.send(t, request("GET", "/weights", ""))
+	must.EqOp(t, fasthttp.StatusBadGateway, resp.StatusCode())
+	must.EqOp(t, "unknown", string(resp.Header.Peek("Rhubarbdrift-Run")))
+	tg.gate.deps.Snapshot = snapshot
+	resp, _ = tg.send(t, request("GET", "/weights", ""))
+	must.EqOp(t, "hello", string(resp.Body()))
+}
+
 // TestDrain guards against a planned stop that aborts a running request.
 func TestDrain(t *testing.T) {
 	started, finish := make(chan struct{}), make(chan struct{})
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -78,7 +78,14 @@
 // Receive processes a message from a neighbour and forwards it to all other
 // links. It opens the link if there is none.
 func (n *Node) Receive(from model.HostID, in *Sum) {
+	n.forward(from, in)
+	n.onReport(in)
+}
+
+// forward adds a neighbour's message to the pending ones of all other links.
+func (n *Node) forward(from model.HostID, in *Sum) {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.expire()
 	l := n.links[from]
 	if l == nil {
@@ -91,8 +98,6 @@
 			other.pending.Add(in)
 		}
 	}
-	n.mu.Unlock()
-	n.onReport(in)
 }
 
 // TakePending returns and clears the pending message for a neighbour: what all other
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
 
 	"rhubarbdrift.example/caller"
 	"rhubarbdrift.example/conf"
@@ -325,3 +326,28 @@
 	test.Between(t, 450*time.Millisecond, time.Since(start), 700*time.Millisecond)
 	test.Eq(t, 1, tp.targetScript.requests.Load())
 }
+
+// panicking is an exchanger that panics.
+type panicking struct{}
+
+func (panicking) Do(context.Context, *model.Target, *fasthttp.Request, *fasthttp.Response) exch.Outcome {
+	panic("test")
+}
+
+func (panicking) DoNonRepeatable(context.Context, *model.Target, *fasthttp.Request, *fasthttp.Response) exch.Outcome {
+	panic("test")
+}
+
+// TestPanic guards against an unexpected error that ends the process, or after which a
+// request that must not be repeated is said not to have run.
+func TestPanic(t *testing.T) {
+	tp := newTestProxy(t, okResponse)
+	exchange := tp.proxy.deps.Exchange
+	tp.proxy.deps.Exchange = panicking{}
+	status, _, header := tp.send(t.Context(), t, "/once/", "key")
+	test.Eq(t, http.StatusBadGateway, status)
+	test.Eq(t, "unknown", header.Get("Rhubarbdrift-Run"))
+	tp.proxy.deps.Exchange = exchange
+	status, _, _ = tp.send(t.Context(), t, "/once/", "key")
+	test.Eq(t, http.StatusOK, status)
+}
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"sync/atomic"
 	"time"
 
@@ -118,10 +119,25 @@
 	d.tried = append(d.tried, t.ID)
 	d.inFlight++
 	s := &sendAttempt{target: t, targetResp: new(fasthttp.Response)}
-	go d.exchange(s)
+	go func() {
+		defer d.recoverExchange(s)
+		d.exchange(s)
+	}()
 	return nil
 }
 
+// recoverExchange ends an exchange that panicked, so that it does not end the process. The
+// target may have run the request.
+func (d *dispatch) recoverExchange(s *sendAttempt) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	d.proxy.log.Error().Any("cause", cause).Str("request", d.id).Str("stack", string(debug.Stack())).Msg("exchange failed")
+	s.out = exch.Outcome{Class: exch.Unknown, Written: 1}
+	d.results <- s
+}
+
 // refuseOrFinish returns the refusal, unless a target may have run the request.
 func (d *dispatch) refuseOrFinish(resp *response) *response {
 	if d.mayHaveRun {
--- a/watch/relay.go
+++ b/watch/relay.go
@@ -64,10 +64,21 @@
 	if f.age() > lapseAge {
 		f.beforeApply()
 	}
+	if !f.applyKnown(u, known, at, relayedBy) {
+		return
+	}
+	f.afterApply()
+	if !u.Outdated && f.lastCallOK.Load() && f.relayed() {
+		f.restartWatch() // this daemon's own watch is no longer needed
+	}
+}
+
+// applyKnown applies an update if it was computed for the present copy and is not older.
+func (f *follower) applyKnown(u *mesh.ListUpdate, known store.Version, at time.Duration, relayedBy model.HostID) bool {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	if f.version != known || u.Version < f.version {
-		f.mu.Unlock()
-		return // the update was not computed for the present copy, or is older
+		return false
 	}
 	if u.Complete {
 		objects := make([]store.Object, len(u.Events))
@@ -83,17 +94,11 @@
 	f.setComplete(at - u.Age.Duration())
 	if u.Outdated {
 		f.keepOutdated(relayedBy)
-		f.mu.Unlock()
-		f.afterApply()
-		return
+		return true
 	}
 	f.relayedBy = relayedBy
 	f.lastRelay.Store(int64(f.sinceBoot()))
-	f.mu.Unlock()
-	f.afterApply()
-	if f.lastCallOK.Load() && f.relayed() {
-		f.restartWatch() // this daemon's own watch is no longer needed
-	}
+	return true
 }
 
 // keepOutdated records that entries came from a neighbour that does not receive the list
--- a/wire/server.go
+++ b/wire/server.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"runtime/debug"
 	"time"
 
 	"google.golang.org/grpc"
@@ -62,7 +64,11 @@
 			if err := decode(q); err != nil {
 				return nil, toStatus(ctx, fault.New(fault.KindInvalid, err.Error(), "run compatible versions of rhubarbdrift on all hosts"))
 			}
-			a, err := f(ctx, q)
+			var a *A
+			err := protect(func() (err error) {
+				a, err = f(ctx, q)
+				return err
+			})
 			if err != nil {
 				return nil, toStatus(ctx, err)
 			}
@@ -72,6 +78,17 @@
 	})
 }
 
+// protect calls the handler of a message. A panic is an error of this message alone, so
+// that one message does not end the process.
+func protect(handle func() error) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = fault.New(fault.KindUnknown, fmt.Sprintf("the handler failed: %v\n%s", cause, debug.Stack()), "report this with the log")
+		}
+	}()
+	return handle()
+}
+
 // Receive registers the function that handles the messages of a one-way stream.
 // It must be called before Serve. The messages of one stream are handled in
 // order, those of different streams concurrently.
@@ -89,7 +106,9 @@
 				if err != nil {
 					return err
 				}
-				f(stream.Context(), m)
+				if err := protect(func() error { f(stream.Context(), m); return nil }); err != nil {
+					return toStatus(stream.Context(), err)
+				}
 			}
 		},
 	})
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -54,7 +54,13 @@
 		<-f.unblock // even past the caller's deadline, as any answer shows that the connection works
 		return &testMessage{}, nil
 	})
-	Receive(s, "note", func(_ context.Context, m *testMessage) { f.received <- m.Text })
+	Handle(s, "panic", func(context.Context, *testMessage) (*testMessage, error) { panic("test") })
+	Receive(s, "note", func(_ context.Context, m *testMessage) {
+		if m.Text == "panic" {
+			panic("test")
+		}
+		f.received <- m.Text
+	})
 	l, err := new(net.ListenConfig).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -93,6 +99,29 @@
 	must.Positive(t, received)
 }
 
+// TestPanic guards against a message that ends the process.
+func TestPanic(t *testing.T) {
+	f := startServer(t)
+	for range 2 {
+		_, err := Call[testMessage, testMessage](t.Context(), f.client, "panic", &testMessage{Text: "a"})
+		must.True(t, fault.Is(err, fault.KindUnknown))
+	}
+	s := NewSender[testMessage](f.client, "note")
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	s.Send(&testMessage{Text: "panic"})
+	for received := ""; received != "after"; {
+		s.Send(&testMessage{Text: "after"})
+		select {
+		case received = <-f.received:
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	cancel()
+	must.NoError(t, <-done)
+}
+
 // TestCallOutcome guards against a call that is reported as not sent although its
 // handler may have run, and against one that is reported as possibly run although
 // it was not sent.
