caller: empty lines after a request do not begin the next one

A caller that sends an empty line after a body, as some old ones do, was answered 408 when the header timeout had passed, on a connection without a request. Found by reading; TestForms sends such lines. The connection now counts as idle.

--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -398,6 +398,16 @@
 		test.Eq(t, want, body)
 	}
 
+	// Empty lines after a request are no beginning of the next one.
+	c = dial(t, address)
+	c.send(post("/13", "body") + "\r\n")
+	_, body, _ = c.read("GET")
+	test.Eq(t, "/13body", body)
+	time.Sleep(testLimits.HeaderTimeout + 100*time.Millisecond)
+	c.send("\r\n" + get("/14"))
+	_, body, _ = c.read("GET")
+	test.Eq(t, "/14", body)
+
 	// An unexpected error ends one request, and no process.
 	c = dial(t, address)
 	c.send(get("/11") + get("/panic/12"))
--- a/caller/conn.go
+++ b/caller/conn.go
@@ -107,6 +107,8 @@
 			continue
 		case err != nil:
 			return
+		case x == nil:
+			continue
 		}
 		if !c.fits(x) && !c.await(c.allAnswered, false) {
 			return
@@ -237,9 +239,9 @@
 	return c.nc.SetReadDeadline(t)
 }
 
-// read reads the header of a request.
+// read reads the header of a request. It returns nil if only empty lines have arrived.
 func (c *conn) read() (*exchange, error) {
-	if err := skipEmptyLines(c.in); err != nil {
+	if more, err := skipEmptyLines(c.in); err != nil || !more {
 		return nil, err
 	}
 	arrival := c.reads.firstByte()
@@ -302,8 +304,8 @@
 	}
 }
 
-// abortReading takes no further requests.
-func (c *conn) abortReading() {
+// stopReading takes no further requests.
+func (c *conn) stopReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.last = true
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -212,7 +212,7 @@
 	switch {
 	case errors.Is(err, io.EOF):
 	case errors.Is(err, os.ErrDeadlineExceeded) || !errors.As(err, &lost) && !errors.Is(err, io.ErrUnexpectedEOF):
-		x.conn.abortReading() // it did not arrive in time, or is malformed
+		x.conn.stopReading() // it did not arrive in time, or is malformed
 	default:
 		x.conn.abort() // the caller has left
 	}
--- a/caller/head.go
+++ b/caller/head.go
@@ -11,30 +11,27 @@
 	"rhubarbdrift.example/header"
 )
 
-// maxEmptyLines is the number of empty lines before a request that are skipped. Some
-// clients send one after a body.
-const maxEmptyLines = 4
-
 // errBufferFull is returned for a head that does not fit into the read buffer.
 var errBufferFull = errors.New("the read buffer is full")
 
 // errHeadTooLarge is the problem of a head that exceeds the limit.
 var errHeadTooLarge = &problem{http.StatusRequestHeaderFieldsTooLarge, "the request header is too large"}
 
-// skipEmptyLines discards empty lines in front of a request.
-func skipEmptyLines(in *bufio.Reader) error {
-	for range maxEmptyLines {
+// skipEmptyLines discards the empty lines in front of a request, which some clients send
+// after a body. It returns false if nothing else has arrived yet.
+func skipEmptyLines(in *bufio.Reader) (more bool, err error) {
+	for in.Buffered() > 0 {
 		first, err := in.Peek(1)
 		if err != nil || first[0] != '\r' {
-			return err
+			return true, err
 		}
 		line, err := in.Peek(2)
 		if err != nil || line[1] != '\n' {
-			return err
+			return true, err
 		}
 		_, _ = in.Discard(2) // cannot fail: the bytes are buffered
 	}
-	return nil
+	return false, nil
 }
 
 // peekHead waits until the buffer holds the whole head of a request, and returns it
