proxy: requests taken before a planned stop are checked again before the send

A request whose header had arrived before the stop, and whose body or turn on its connection came during it, was sent to a target although it might not end in time, and was broken off by the last answers.

TestTakenBeforeStop without the second check: 504 after a send, for a late body and for a request behind another.

--- a/proxy/call.go
+++ b/proxy/call.go
@@ -55,7 +55,7 @@
 // that was refused without a byte sent to a target gives its token of the
 // customer's limit back.
 func (c *call) serve() *response {
-	for _, step := range []func() *response{c.resolveRoute, c.refuseInStop, c.authenticate, c.readBody, c.awaitTurn, c.refuseLate, c.admit} {
+	for _, step := range []func() *response{c.resolveRoute, c.refuseInStop, c.authenticate, c.readBody, c.awaitTurn, c.refuseInStop, c.refuseLate, c.admit} {
 		if resp := step(); resp != nil {
 			return resp
 		}
