clock, daemon, entry, wire, proxy: found on reading the whole change

clock: leases, grants and the proofs of a cell in the product's own body ended by the monotonic clock, which stops while the machine is suspended: a holder that wakes would go on with what had run out. The users' body used such a clock for keys already; links of the mesh use it now too. Found by reading.

entry: the guard against pauses also runs before a target is chosen, since open routes have no customer's limit but targets may have one, and before the share is computed. proxy: a panic in an exchange left its target busy for good (TestPanic: 1 request at the target). wire: the stack of a panic is logged where it happened instead of sent to the caller.

--- a/admit/limits.go
+++ b/admit/limits.go
@@ -77,6 +77,7 @@
 	Directory *peers.Directory
 	Cell      *peers.Cell
 	Pool      *wire.ClientPool
+	Clock     model.Clock // that of Leases
 }
 
 // New returns a Limits. Call Register and Run before Admit.
@@ -85,8 +86,8 @@
 		self: d.Origin.Host, region: d.Origin.Region, keeper: d.Leases, pool: d.Pool,
 		directory: d.Directory, cell: d.Cell, remoteOwners: make(map[regionShard]model.HostID),
 	}
-	l.owner = quota.NewOwner(l.region, d.Regions, d.Leases, d.Customers, d.Platform, l, quota.WithOwnerShards(d.Shards))
-	l.cache = tokens.New(d.Origin, d.Regions, l, tokens.WithShards(d.Shards))
+	l.owner = quota.NewOwner(l.region, d.Regions, d.Leases, d.Customers, d.Platform, l, quota.WithOwnerShards(d.Shards), quota.WithOwnerClock(d.Clock))
+	l.cache = tokens.New(d.Origin, d.Regions, l, tokens.WithShards(d.Shards), tokens.WithClock(d.Clock))
 	return l
 }
 
--- a/cmds/entry.go
+++ b/cmds/entry.go
@@ -23,7 +23,8 @@
 
 SIGHUP reloads the settings; if they are not valid, the error is logged and the
 old settings stay in force. SIGTERM starts a planned stop: the host reports that
-it is not ready, finishes all running requests and exits with code 0.`,
+it is not ready, finishes running requests, refuses new ones that might not end within
+the grace period, and exits with code 0.`,
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			path := os.Getenv(platform.SettingsFileEnv)
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -97,7 +97,7 @@
 func (d *Daemon) buildWire() error {
 	d.state.counters = wire.NewCounters()
 	d.state.peers = wire.NewPool(wire.WithCounters(d.state.counters))
-	server := wire.NewServer(wire.WithCounters(d.state.counters))
+	server := wire.NewServer(wire.WithCounters(d.state.counters), wire.WithLog(d.log))
 	if err := kernel.Provide(d.services, nameWire, server); err != nil {
 		return err
 	}
--- a/daemon/cell.go
+++ b/daemon/cell.go
@@ -30,12 +30,12 @@
 		return err
 	}
 	s := d.settings
-	m := cell.NewMember(cell.Host{ID: s.Host, Address: s.Listen.Peers}, s.Cell, d.incarnation)
+	m := cell.NewMember(cell.Host{ID: s.Host, Address: s.Listen.Peers}, s.Cell, d.incarnation, cell.WithClock(d.clock))
 	link := roster.NewLink(d.state.peers)
 	f := feed.New(d.state.holder, m, platform, feed.NewLink(d.state.peers), feed.WithLogger(d.log))
 	feed.Register(server, f)
 	service := roster.NewService(m, platform, link, roster.WithSeeds(s.Peers),
-		roster.WithReader(f.ReadVersion), roster.WithLogger(d.log))
+		roster.WithClock(d.clock), roster.WithReader(f.ReadVersion), roster.WithLogger(d.log))
 	roster.Register(server, service)
 	d.state.cell = peers.NewCell(m, service, d.state.directory)
 	wire.Handle(server, methodState, d.cellState)
@@ -53,6 +53,7 @@
 	s := d.settings
 	k := lease.New(
 		lease.WithStore(platform),
+		lease.WithClock(d.clock),
 		lease.WithSelf(s.Host, d.incarnation),
 		lease.WithRegion(s.Region, s.Shards),
 		lease.WithCell(s.Cell, d.state.cell),
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"rhubarbdrift.example/clock"
 	"rhubarbdrift.example/conf"
 	"rhubarbdrift.example/config"
 	"rhubarbdrift.example/gate"
@@ -25,6 +26,7 @@
 type Daemon struct {
 	settings    *config.Settings
 	incarnation model.Incarnation
+	clock       model.Clock // of leases, limits and the proofs of the cell
 	release     string
 	log         zerolog.Logger
 	services    *kernel.Kernel
@@ -50,6 +52,7 @@
 	d := &Daemon{
 		settings:    s,
 		incarnation: model.Incarnation(uuid.NewString()),
+		clock:       clock.New(clock.SinceBoot),
 		log:         zerolog.Nop(),
 		services:    kernel.New(),
 		meter:       meter.New(),
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -29,6 +29,7 @@
 		Directory: d.state.directory,
 		Cell:      d.state.cell,
 		Pool:      d.state.peers,
+		Clock:     d.clock,
 	})
 	l.Register(server)
 	return kernel.Provide(d.services, nameLimits, l)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"rhubarbdrift.example/caller"
+	"rhubarbdrift.example/clock"
 	"rhubarbdrift.example/conf"
 	"rhubarbdrift.example/exch"
 	"rhubarbdrift.example/kernel"
@@ -118,10 +119,10 @@
 		func() time.Duration { return e.config.Age() }, func() bool { return e.config.StoreAnswers() }, watch.WithLog(e.log), watch.WithMeter(e.meter.Scope()))
 	e.config = watch.NewConfigFollower(e.client(configWait), names.Config, names.ConfigName, e.adapter, e.holder, e.targets, watch.WithLog(e.log), watch.WithMeter(e.meter.Scope()))
 	e.hosts = watch.NewHosts(e.client(0), s.meshHost(), watch.WithLog(e.log), watch.WithMeter(e.meter.Scope()))
-	e.node = mesh.NewNode(s.meshHost(), time.Now, e.applyReport)
+	e.node = mesh.NewNode(s.meshHost(), clock.New(clock.SinceBoot), e.applyReport)
 	e.limits = limit.NewSet(time.Now(), limit.Allowance{Ratio: s.RetryRatio, Reserve: s.RetryReserve},
 		limit.Tolerance{Window: s.LimitWindow, Share: s.LimitOvershoot, Slack: s.LimitSlack}, reporter{e.node})
-	e.pauses = limit.NewPauseGuard(watch.SinceBoot, e.limitAfterPause)
+	e.pauses = limit.NewPauseGuard(clock.SinceBoot, e.limitAfterPause)
 	e.exchange = exch.New(exch.WithHeaders(e.adapter.Headers()), exch.WithConnectTimeout(connectTimeout), exch.WithIdleTimeout(idleTimeout),
 		exch.WithMaxBuffered(maxAnswerBytes), exch.WithMaxConnections(maxTargetConnections))
 	e.proxy = proxy.New(proxy.Dependencies{
@@ -148,8 +149,8 @@
 // provideServices registers the services in the order in which they are started.
 func (e *Entry) provideServices() error {
 	pool := wire.NewPool()
-	peers := wire.NewServer()
-	relayedLists := &mesh.RelayedLists{Clock: watch.SinceBoot, All: []mesh.List{e.config, e.targets}}
+	peers := wire.NewServer(wire.WithLog(e.log))
+	relayedLists := &mesh.RelayedLists{Clock: clock.SinceBoot, All: []mesh.List{e.config, e.targets}}
 	mesh.RegisterHandler(peers, e.node, relayedLists)
 	e.callers = &serve.NetHTTP{Name: "callers", Address: e.settings.CallerAddress, Log: e.log, Server: caller.New(e.proxy, caller.Limits{
 		HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
--- a/entry/share.go
+++ b/entry/share.go
@@ -123,6 +123,13 @@
 	return l.Set.Admit(now, c)
 }
 
+// CountRequest implements proxy.Limiter. It is called for every request before its target
+// is chosen, which may have a limit.
+func (l guardedLimits) CountRequest(id model.PoolID) {
+	l.pauses.Check()
+	l.Set.CountRequest(id)
+}
+
 // Retry implements proxy.Limiter.
 func (l guardedLimits) Retry(id model.PoolID, keepShare float64) bool {
 	l.pauses.Check()
@@ -161,9 +168,9 @@
 			return nil
 		case <-t.C:
 		}
+		e.pauses.Confirm()
 		known := len(e.hosts.All())
 		if known == 0 {
-			e.pauses.Confirm()
 			continue
 		}
 		share := min(1, float64(e.node.CountHosts())/float64(known))
@@ -171,7 +178,6 @@
 			e.log.Info().Float64("part", share).Int("known", known).Msg("part of the fleet heard changed")
 			previous = share
 		}
-		e.pauses.Confirm()
 		e.setShare(share, min(1, float64(e.node.CountNew())/float64(known)))
 		e.shareKnown.Store(true)
 	}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -91,6 +91,7 @@
 	holder       *conf.Holder
 	url          string
 	proxy        *Proxy
+	atTargets    atomic.Int32 // requests that were reported as sent and not as ended
 }
 
 func newTestProxy(t *testing.T, responses ...string) *testProxy {
@@ -120,7 +121,7 @@
 		ConfigAge: func() time.Duration { return time.Duration(tp.age.Load()) }, Limiter: unlimited{}, Balancer: balancer,
 		Exchange:          exch.New(exch.WithHeaders(exch.Headers{Deadline: "Deadline", Expect: "Expect", Shed: "Shed", ShedAnyStatus: true, Request: "Request", Signature: "Signature"})),
 		ReportObservation: func(model.TargetID, health.Observation, float64) {},
-		ReportRequests:    func(model.TargetID, uint32, uint32) {},
+		ReportRequests:    func(_ model.TargetID, sent, ended uint32) { tp.atTargets.Add(int32(sent) - int32(ended)) },
 		ReportLeaving:     func(model.TargetID, int64) {},
 		ReportLimit:       func(model.TargetID, bool, model.Rate) {},
 	})
@@ -388,6 +389,7 @@
 	status, _, header := tp.send(t.Context(), t, "/once/", "key")
 	test.Eq(t, http.StatusBadGateway, status)
 	test.Eq(t, "unknown", header.Get("Rhubarbdrift-Run"))
+	test.Eq(t, 0, tp.atTargets.Load()) // or the target would look busy for good
 	tp.proxy.deps.Exchange = exchange
 	status, _, _ = tp.send(t.Context(), t, "/once/", "key")
 	test.Eq(t, http.StatusOK, status)
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -189,10 +190,16 @@
 	}
 	s.target.Begin(time.Now())
 	d.proxy.deps.ReportRequests(s.target.ID, 1, 0)
+	end := sync.OnceFunc(func() {
+		s.target.End(time.Now())
+		d.proxy.deps.ReportRequests(s.target.ID, 0, 1)
+	})
+	defer end()
 	slowTimer := time.AfterFunc(d.slowAfter(), func() {
 		s.slow.Store(true)
 		d.recordObservation(s.target, health.Slow, -1, &exch.Outcome{HeaderLatency: d.slowAfter()})
 	})
+	defer slowTimer.Stop()
 	started := time.Now()
 	do := d.proxy.deps.Exchange.DoNonRepeatable
 	if d.repeatable() {
@@ -200,8 +207,7 @@
 	}
 	s.out = do(d.ctx, &s.target.Target, req, s.targetResp)
 	slowTimer.Stop()
-	s.target.End(time.Now())
-	d.proxy.deps.ReportRequests(s.target.ID, 0, 1)
+	end()
 	d.recordAnnouncement(s.target, started, &s.out)
 	load, reported := d.proxy.deps.Protocol.ParseLoad(string(s.targetResp.Header.Peek(d.proxy.deps.Protocol.Load)))
 	if !reported {
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
+	"rhubarbdrift.example/clock"
 	"rhubarbdrift.example/fault"
 	"rhubarbdrift.example/model"
 	"rhubarbdrift.example/store"
@@ -55,13 +56,15 @@
 	return func(o *options) { o.odd = s.SubScope("store").Counter("odd_entries") }
 }
 
-// WithClock replaces the clock, by default SinceBoot. It must count the time during which
+// WithClock replaces the clock, by default clock.SinceBoot. It must count the time during which
 // the machine is suspended.
-func WithClock(clock func() time.Duration) Option { return func(o *options) { o.sinceBoot = clock } }
+func WithClock(sinceBoot func() time.Duration) Option {
+	return func(o *options) { o.sinceBoot = sinceBoot }
+}
 
 // newOptions returns the defaults with the options applied.
 func newOptions(opts []Option) options {
-	o := options{log: zerolog.Nop(), odd: tally.NoopScope.Counter("odd"), sinceBoot: SinceBoot}
+	o := options{log: zerolog.Nop(), odd: tally.NoopScope.Counter("odd"), sinceBoot: clock.SinceBoot}
 	for _, set := range opts {
 		set(&o)
 	}
--- a/wire/server.go
+++ b/wire/server.go
@@ -9,6 +9,7 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
 
 	"rhubarbdrift.example/fault"
@@ -23,14 +24,20 @@
 // Option sets an option of NewServer or NewPool.
 type Option func(*settings)
 
-type settings struct{ counters *Counters }
+type settings struct {
+	counters *Counters
+	log      zerolog.Logger
+}
+
+// WithLog sets the logger of a server, which logs handlers that panicked.
+func WithLog(l zerolog.Logger) Option { return func(s *settings) { s.log = l } }
 
 // WithCounters counts the traffic in c, which several servers and pools may
 // share.
 func WithCounters(c *Counters) Option { return func(s *settings) { s.counters = c } }
 
 func newSettings(options []Option) settings {
-	s := settings{}
+	s := settings{log: zerolog.Nop()}
 	for _, o := range options {
 		o(&s)
 	}
@@ -65,7 +72,7 @@
 				return nil, toStatus(ctx, fault.New(fault.KindInvalid, err.Error(), "run compatible versions of rhubarbdrift on all hosts"))
 			}
 			var a *A
-			err := protect(func() (err error) {
+			err := s.protect(method, func() (err error) {
 				a, err = f(ctx, q)
 				return err
 			})
@@ -80,10 +87,11 @@
 
 // protect calls the handler of a message. A panic is an error of this message alone, so
 // that one message does not end the process.
-func protect(handle func() error) (err error) {
+func (s *Server) protect(method string, handle func() error) (err error) {
 	defer func() {
 		if cause := recover(); cause != nil {
-			err = fault.New(fault.KindUnknown, fmt.Sprintf("the handler failed: %v\n%s", cause, debug.Stack()), "report this with the log")
+			s.log.Error().Any("cause", cause).Str("method", method).Str("stack", string(debug.Stack())).Msg("message failed")
+			err = fault.New(fault.KindUnknown, fmt.Sprintf("the handler failed: %v", cause), "look into the log of the host that was called")
 		}
 	}()
 	return handle()
@@ -106,7 +114,7 @@
 				if err != nil {
 					return err
 				}
-				if err := protect(func() error { f(stream.Context(), m); return nil }); err != nil {
+				if err := s.protect(method, func() error { f(stream.Context(), m); return nil }); err != nil {
 					return toStatus(stream.Context(), err)
 				}
 			}
