store, roster: odd entries of the host list in the product's own dialect

An address that cannot be used left its host a candidate for shards of its region. Found by reading: the list of daemons of the other body was checked already. TestOddObjects now has such entries. A roster that cannot be read still stops the confirmation of changes, on the safe side; its error names the cell.

--- a/roster/service.go
+++ b/roster/service.go
@@ -269,7 +269,7 @@
 func decodeRoster(o store.Object) (cell.Roster, error) {
 	var r cell.Roster
 	if err := cbor.Unmarshal(o.Value, &r); err != nil {
-		return cell.Roster{}, fault.Wrap(fault.KindInvalid, err, "the roster does not decode", "delete the object of the cell; its hosts join again")
+		return cell.Roster{}, fault.Wrap(fault.KindInvalid, err, "the roster of cell "+o.Name+" does not decode", "delete the object of the cell; its hosts join again")
 	}
 	r.Version = o.Version
 	return r, r.Check()
--- a/store/dialect.go
+++ b/store/dialect.go
@@ -130,7 +130,7 @@
 	hosts := make([]Host, 0, len(items))
 	for _, item := range items {
 		// An entry that cannot be read names no host to use; the others hold.
-		if h, err := decode[Host](item); err == nil && h.ID != "" {
+		if h, err := decode[Host](item); err == nil && h.Check() == nil {
 			hosts = append(hosts, h)
 		}
 	}
--- a/store/split_test.go
+++ b/store/split_test.go
@@ -41,9 +41,9 @@
 			test.True(t, c.Events[1].Deleted)
 		})
 	}
-	hosts, err := objapiDialect{}.HostList([]byte(`[{"id":7},{"id":"a","address":"10.0.0.1:1"},` + deep + `]`))
+	hosts, err := objapiDialect{}.HostList([]byte(`[{"id":7},{"id":"a","address":"10.0.0.1:1"},{"id":"b","address":"10.0.0.1:99999"},{"id":"c"},` + deep + `]`))
 	must.NoError(t, err)
-	must.Len(t, 1, hosts)
+	must.Len(t, 2, hosts)
 }
 
 // FuzzMembers compares how JSON is split with the library.
--- a/store/store.go
+++ b/store/store.go
@@ -78,6 +78,18 @@
 	Leaving bool         `json:"leaving,omitempty"`
 }
 
+// Check returns an error of package fault for an entry without an id, or with an address
+// that cannot be used. An entry may have no address.
+func (h *Host) Check() error {
+	if h.ID == "" || len(h.ID) > MaxName {
+		return fault.Invalid("host list", "the id of an entry is empty or too long", "correct the entry")
+	}
+	if h.Address == "" {
+		return nil
+	}
+	return model.CheckAddress("host "+string(h.ID), h.Address)
+}
+
 // Store is the platform's object API.
 //
 // Errors have one of the kinds fault.KindInvalid (the platform rejects the
