limit, entry: a restarted host is not filled for the time before it hears others

The bucket of a customer was filled, when the first report or request came, for all the time since the daemon's start with the share that it reached then. What the others had used before it heard them was missing. A paused host counted the pause in the same way for customers that it had not seen before.

Found on reading what a host uses that has just started.

The set counts for how long, and which share of, the fleet was heard; new buckets are filled for that. No share counts before there is a configuration, as reports of customers are dropped until then. After a pause a daemon counts as restarted for customers that it has not seen.

--- a/entry/share.go
+++ b/entry/share.go
@@ -144,7 +144,9 @@
 		return // nothing is admitted yet
 	}
 	e.log.Warn().Int("known", known).Msg("this host was paused; limits are kept to its own share")
-	e.setShare(1/float64(known), 0)
+	now, share := time.Now(), 1/float64(known)
+	e.balancer.SetFleetShare(now, share)
+	e.limits.Restart(now, share)
 }
 
 // setShare sets the share of the limits that this daemon may use, and the share of hosts
@@ -170,8 +172,8 @@
 		}
 		e.pauses.Confirm()
 		known := len(e.hosts.All())
-		if known == 0 {
-			continue
+		if known == 0 || e.holder.Current() == nil {
+			continue // reports of customers are dropped before there is a configuration
 		}
 		share := min(1, float64(e.node.CountHosts())/float64(known))
 		if share != previous {
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -10,7 +10,7 @@
 //
 // # Usage
 //
-//	b := limit.New(now, started, limit.Limit{Rate: 64, Burst: 64}, tolerance, limit.Reachable{Share: 1})
+//	b := limit.New(now, limit.Past{Started: started}, limit.Limit{Rate: 64, Burst: 64}, tolerance, limit.Reachable{Share: 1})
 //	if wait, ok := b.Admit(now, rand.Float64()); !ok {
 //		// refuse the request, with wait as its Retry-After
 //	}
@@ -90,12 +90,20 @@
 	started     time.Time
 }
 
+// Past is the past of a daemon for which a new bucket is filled.
+type Past struct {
+	Started time.Time // start of the daemon, or the end of its last pause
+	// Heard is the time for which the daemon has heard the whole fleet since then. While
+	// it heard a part of it, only that share of the time counts.
+	Heard time.Duration
+}
+
 // New returns the bucket of a customer for which no requests were reported since
-// this daemon started. It is filled as if it had existed since then.
-func New(now, started time.Time, limit Limit, tolerance Tolerance, r Reachable) *Bucket {
-	b := &Bucket{limit: limit, tolerance: tolerance, updated: started, started: started}
-	b.SetReachable(started, r)
-	b.advance(now)
+// this daemon started. It is filled for the time in which they would have been.
+func New(now time.Time, past Past, limit Limit, tolerance Tolerance, r Reachable) *Bucket {
+	b := &Bucket{limit: limit, tolerance: tolerance, updated: now, started: past.Started}
+	b.SetReachable(now, r)
+	b.tokens = min(b.tokens+limit.Rate*past.Heard.Seconds(), b.capacity())
 	return b
 }
 
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -44,7 +44,7 @@
 	buckets := make([]*Bucket, daemons)
 	started := make([]time.Duration, daemons)
 	for i := range buckets {
-		buckets[i] = New(start, start, limit, testTolerance, Reachable{Share: 1, NewShare: 1})
+		buckets[i] = New(start, Past{Started: start}, limit, testTolerance, Reachable{Share: 1, NewShare: 1})
 	}
 	type report struct {
 		at       time.Duration
@@ -62,7 +62,7 @@
 			if len(restarts) > 0 && now >= restarts[0] {
 				restarts, reports = restarts[1:], nil
 				for i := range buckets {
-					buckets[i] = New(start.Add(now), start.Add(now), limit, testTolerance, Reachable{Share: 1 / float64(daemons), NewShare: 1 / float64(daemons)})
+					buckets[i] = New(start.Add(now), Past{Started: start.Add(now)}, limit, testTolerance, Reachable{Share: 1 / float64(daemons), NewShare: 1 / float64(daemons)})
 					started[i] = now
 				}
 			}
@@ -220,13 +220,13 @@
 		fullFleet := Reachable{Share: 1, NewShare: 1}
 		buckets := make([]*Bucket, daemons)
 		for i := range buckets {
-			buckets[i] = New(start, start, limit, testTolerance, fullFleet)
+			buckets[i] = New(start, Past{Started: start}, limit, testTolerance, fullFleet)
 		}
 		var admitted []time.Duration
 		for ; now < 20*time.Second; now += time.Millisecond {
 			if now%(200*time.Millisecond) == 0 {
 				i := int(now/(200*time.Millisecond)) % daemons
-				buckets[i] = New(start.Add(now), start.Add(now), limit, testTolerance, Reachable{Share: 1.0 / daemons, NewShare: 1.0 / daemons})
+				buckets[i] = New(start.Add(now), Past{Started: start.Add(now)}, limit, testTolerance, Reachable{Share: 1.0 / daemons, NewShare: 1.0 / daemons})
 				buckets[i].SetReachable(start.Add(now), Reachable{Share: 1, NewShare: 1.0 / daemons})
 			}
 			for range poisson(random, 5*rate/1000) {
@@ -264,7 +264,7 @@
 	// shows that the check above can fail.
 	unscaledAdmitted := 0
 	for range 36 {
-		b := New(time.Unix(0, 0), time.Unix(0, 0), limit, testTolerance, Reachable{Share: 1, NewShare: 1})
+		b := New(time.Unix(0, 0), Past{Started: time.Unix(0, 0)}, limit, testTolerance, Reachable{Share: 1, NewShare: 1})
 		for i := range 5000 {
 			if _, ok := b.Admit(time.Unix(0, 0).Add(time.Duration(i)*time.Millisecond), 0); ok {
 				unscaledAdmitted++
@@ -278,7 +278,7 @@
 // was lowered.
 func TestLowered(t *testing.T) {
 	now := time.Unix(0, 0)
-	b := New(now, now, Limit{Rate: 100, Burst: 100}, testTolerance, Reachable{Share: 1, NewShare: 1})
+	b := New(now, Past{Started: now}, Limit{Rate: 100, Burst: 100}, testTolerance, Reachable{Share: 1, NewShare: 1})
 	now = now.Add(time.Minute)
 	b.Resize(now, Limit{Rate: 1, Burst: 2})
 	n := 0
--- a/limit/pause_test.go
+++ b/limit/pause_test.go
@@ -70,7 +70,7 @@
 // run returns the largest number of admissions in any window.
 func (f *pausedFleet) run(limit Limit) int {
 	for range pauseDaemons {
-		b := New(f.time(), f.time(), limit, testTolerance, Reachable{Share: 1, NewShare: 1})
+		b := New(f.time(), Past{Started: f.time()}, limit, testTolerance, Reachable{Share: 1, NewShare: 1})
 		f.buckets = append(f.buckets, b)
 		f.guards = append(f.guards, NewPauseGuard(func() time.Duration { return f.now }, func() {
 			b.SetReachable(f.time(), Reachable{Share: 1.0 / pauseDaemons})
--- /dev/null
+++ b/limit/restart_test.go
@@ -0,0 +1,57 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+
+	"rhubarbdrift.example/model"
+)
+
+// noReports is a Reporter that reports to nobody.
+type noReports struct{}
+
+func (noReports) ReportCustomer(model.CustomerID, uint32, uint32) {}
+func (noReports) ReportPool(model.PoolID, uint32, uint32)         {}
+
+// admitAtOnce returns how many requests of a customer a set admits at one time.
+func admitAtOnce(s *Set, now time.Time, c *model.Customer) int {
+	admitted := 0
+	for range 1000 {
+		if _, ok := s.Admit(now, c); ok {
+			admitted++
+		}
+	}
+	return admitted
+}
+
+// TestRestartHearsLater guards against a restarted daemon whose buckets are filled for the
+// time before it heard of the others, who have used the limit meanwhile.
+func TestRestartHearsLater(t *testing.T) {
+	const daemons = 6
+	customer := &model.Customer{ID: "c", Rate: 30, Burst: 30}
+	started := time.Unix(0, 0)
+	s := NewSet(started, Allowance{}, testTolerance, noReports{})
+	s.SetReachable(started, Reachable{})
+	now := started.Add(800 * time.Millisecond) // the others are heard from now on
+	s.SetReachable(now, Reachable{Share: 1, NewShare: 1.0 / daemons})
+	s.AddRemoteCustomer(now, customer, Usage{Requests: 12, Granted: 2})
+	b := New(started, Past{Started: started}, Limit{Rate: 30, Burst: 30}, testTolerance, Reachable{Share: 1})
+	test.LessEq(t, 1+b.initialTokens()/daemons, float64(admitAtOnce(s, now, customer)))
+
+	// What comes in while it hears the others counts.
+	now = now.Add(5 * time.Second)
+	test.Greater(t, 10, admitAtOnce(s, now, customer))
+}
+
+// TestFirstRequestLate guards against a daemon that refuses the first requests of a
+// customer although it has heard of all others for seconds.
+func TestFirstRequestLate(t *testing.T) {
+	customer := &model.Customer{ID: "c", Rate: 30, Burst: 30}
+	started := time.Unix(0, 0)
+	s := NewSet(started, Allowance{}, testTolerance, noReports{})
+	s.SetReachable(started, Reachable{})
+	s.SetReachable(started.Add(200*time.Millisecond), Reachable{Share: 1, NewShare: 1})
+	test.Greater(t, 20, admitAtOnce(s, started.Add(5*time.Second), customer))
+}
--- a/limit/set.go
+++ b/limit/set.go
@@ -16,7 +16,8 @@
 	reporter  Reporter
 
 	mu        sync.Mutex
-	started   time.Time
+	past      Past      // up to reachedAt, for new buckets
+	reachedAt time.Time // when fleet was set
 	fleet     Reachable // last one set, for new buckets and budgets
 	customers map[model.CustomerID]*Bucket
 	pools     map[model.PoolID]*Budget
@@ -31,14 +32,29 @@
 // NewSet returns a set with the retry allowance a for each pool and the tolerance t
 // for the customers' limits, of a daemon that started at the given time.
 func NewSet(started time.Time, a Allowance, t Tolerance, r Reporter) *Set {
-	return &Set{allowance: a, tolerance: t, reporter: r, started: started, fleet: Reachable{Share: 1}, customers: make(map[model.CustomerID]*Bucket), pools: make(map[model.PoolID]*Budget)}
+	return &Set{allowance: a, tolerance: t, reporter: r, past: Past{Started: started}, reachedAt: started, fleet: Reachable{Share: 1}, customers: make(map[model.CustomerID]*Bucket), pools: make(map[model.PoolID]*Budget)}
 }
 
 // SetReachable sets the share of the fleet that is reachable from this daemon.
 func (s *Set) SetReachable(now time.Time, r Reachable) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.fleet = r
+	s.setReachable(now, r)
+}
+
+// Restart keeps this daemon to its share of the fleet after a pause, in which the others
+// may have used all but that. Until the next SetReachable nothing else is added.
+func (s *Set) Restart(now time.Time, share float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setReachable(now, Reachable{Share: share})
+	s.past = Past{Started: now}
+}
+
+// setReachable implements SetReachable. The caller holds the lock.
+func (s *Set) setReachable(now time.Time, r Reachable) {
+	s.past.Heard = s.heard(now)
+	s.fleet, s.reachedAt = r, now
 	for _, b := range s.customers {
 		b.SetReachable(now, r)
 	}
@@ -47,6 +63,12 @@
 	}
 }
 
+// heard returns Past.Heard at a time. The caller holds the lock.
+func (s *Set) heard(now time.Time) time.Duration {
+	share := min(max(s.fleet.Share, 0), 1)
+	return s.past.Heard + time.Duration(share*float64(max(now.Sub(s.reachedAt), 0)))
+}
+
 // Admit decides on a request of a customer, as Bucket.Admit does, and reports it.
 // Without a rate, the customer has no limit.
 func (s *Set) Admit(now time.Time, c *model.Customer) (retryDelay time.Duration, ok bool) {
@@ -80,7 +102,7 @@
 	limit := Limit{Rate: float64(c.Rate), Burst: float64(c.Burst)}
 	b := s.customers[c.ID]
 	if b == nil {
-		b = New(now, s.started, limit, s.tolerance, s.fleet)
+		b = New(now, Past{Started: s.past.Started, Heard: s.heard(now)}, limit, s.tolerance, s.fleet)
 		s.customers[c.ID] = b
 	}
 	if b.limit != limit {
