--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -205,7 +205,8 @@
 type configuration struct {
 	version int
 	keys    []string
-	exempt  bool
+	open    string   // name of a further route, with the prefix /open/
+	exempt  bool     // that route is authExempt
 	others  [][]any  // rows of further tenants
 	second  []string // keys of a second tenant
 }
@@ -218,8 +219,8 @@
 		{"group-payouts", "yard.example", "/pay/", "non_idempotent", "2500ms", "1000ms", 1, "ledger", 2, false, nil},
 	}
 	rows = append(rows, []any{"cert-pulls", "yard.example", "/pull/", "download", "2000ms", "800ms", 2, "ledger", 2, false, nil})
-	if c.exempt {
-		rows = append(rows, []any{"open-lookups", "yard.example", "/open/", "idempotent", "2000ms", "1000ms", 2, "ledger", 2, true, nil})
+	if c.open != "" {
+		rows = append(rows, []any{c.open, "yard.example", "/open/", "idempotent", "2000ms", "1000ms", 2, "ledger", 2, c.exempt, nil})
 	}
 	return s.put("config", "main", map[string]any{
 		"configVersion": fmt.Sprintf("r%d", c.version),
