--- a/review/standins/host.go
+++ b/review/standins/host.go
@@ -48,9 +48,11 @@
 
 // stopAll ends all processes.
 func stopAll() {
+	var wait sync.WaitGroup
 	for _, h := range started {
-		h.stop()
+		wait.Go(h.stop)
 	}
+	wait.Wait()
 	started = nil
 }
 
--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -110,18 +110,18 @@
 
 func (s *store) get(w http.ResponseWriter, kind, name string) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if o := s.objects[kind+"/"+name]; o != nil {
-		answer(w, http.StatusOK, o)
+	o := s.objects[kind+"/"+name]
+	s.mu.Unlock()
+	if o == nil {
+		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	w.WriteHeader(http.StatusNotFound)
+	answer(w, http.StatusOK, o)
 }
 
 // list answers a list, with at most 500 items.
 func (s *store) list(w http.ResponseWriter, r *http.Request, kind string) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	var names []string
 	for key := range s.objects {
 		if name, ok := strings.CutPrefix(key, kind+"/"); ok && name > r.URL.Query().Get("after") {
@@ -137,7 +137,9 @@
 	for _, name := range names {
 		items = append(items, s.objects[kind+"/"+name])
 	}
-	answer(w, http.StatusOK, map[string]any{"items": items, "more": more, "asOf": s.revision})
+	asOf := s.revision
+	s.mu.Unlock()
+	answer(w, http.StatusOK, map[string]any{"items": items, "more": more, "asOf": asOf})
 }
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
@@ -176,28 +178,38 @@
 			return
 		}
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if r.Method == http.MethodPost {
 		name = in.Metadata.Name
 	}
-	old := s.objects[kind+"/"+name]
 	revision := in.Metadata.Revision
 	if text := r.URL.Query().Get("revision"); text != "" {
 		revision, _ = strconv.ParseUint(text, 10, 64)
 	}
+	status, o := s.apply(r.Method, kind, name, revision, in.Spec)
+	if o == nil {
+		w.WriteHeader(status)
+		return
+	}
+	answer(w, status, o)
+}
+
+// apply makes a change and returns the status and the object of its answer.
+func (s *store) apply(method, kind, name string, revision uint64, spec json.RawMessage) (int, *object) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.objects[kind+"/"+name]
 	switch {
-	case r.Method == http.MethodPost && old != nil, r.Method != http.MethodPost && old != nil && revision != 0 && revision != old.Metadata.Revision:
-		answer(w, http.StatusConflict, old)
-	case r.Method != http.MethodPost && old == nil:
-		w.WriteHeader(http.StatusNotFound)
-	case r.Method == http.MethodDelete:
+	case method == http.MethodPost && old != nil, method != http.MethodPost && old != nil && revision != 0 && revision != old.Metadata.Revision:
+		return http.StatusConflict, old
+	case method != http.MethodPost && old == nil:
+		return http.StatusNotFound, nil
+	case method == http.MethodDelete:
 		s.revision++
 		delete(s.objects, kind+"/"+name)
 		s.record(event{Removed: true, Object: *old, kind: kind, revision: s.revision})
-		answer(w, http.StatusOK, old)
+		return http.StatusOK, old
 	default:
-		answer(w, http.StatusOK, s.write(kind, name, in.Spec))
+		return http.StatusOK, s.write(kind, name, spec)
 	}
 }
 
