proxy: a host with an old configuration names no holder of a key on open routes

Cause: authenticate looked the key up on an open route in whatever configuration the host had, without the check of its age that other routes make, and recheckKey left open routes out.

A request with a key is now refused as not run, with Retry-After, on every route while the configuration is older than MaxKeyAge, and checked again before each send. Serving it without a name would be wrong as well: the route may need a key by now, and the target would run a request of a customer without being told so. Requests without a key still pass on open routes, so an outage of the store stops none of them. If the holder changes between arrival and send, the request is refused as stale and can be repeated at once. The rank, the limit and the log line come from the same field and are covered by the same check.

TestOpenRouteKeys fails before the change: 503 expected and 200 seen for both keys of a stale host (5 requests at the targets, 3 allowed), and 200 for a request whose key changed hands while its body arrived.

--- a/proxy/call.go
+++ b/proxy/call.go
@@ -37,6 +37,7 @@
 	route     *model.Route
 	pool      model.PoolID
 	customer  *model.Customer // nil on open routes without a valid key
+	hasKey    bool            // the request carries a key
 	keyDigest model.Digest
 	body      []byte
 
@@ -138,7 +139,7 @@
 // refuseUnlessStale returns the refusal, or a retryable one if this daemon's
 // configuration may be too old to contain the route.
 func (c *call) refuseUnlessStale(r *refuse.Refusal) *response {
-	if c.proxy.deps.ConfigAge() > c.proxy.deps.MaxKeyAge {
+	if c.keysExpired() {
 		return staleRefusal()
 	}
 	return refusal(r, 0)
@@ -167,43 +168,56 @@
 	return r.Pool
 }
 
-// authenticate sets the customer of the request's key. On an open route, the
-// request passes without one.
+// authenticate sets the customer of the request's key. On an open route, a request
+// without a valid key passes without a customer. A request with a key is refused on
+// every route while the configuration may be too old: another customer may hold the
+// key, and the route may no longer be open.
 func (c *call) authenticate() *response {
 	key, ok := c.proxy.deps.Protocol.ParseKey(c.request.Header.Get(c.proxy.deps.Protocol.Key))
 	if ok {
-		c.keyDigest = model.DigestOf([]byte(key))
+		c.hasKey, c.keyDigest = true, model.DigestOf([]byte(key))
 	}
-	if c.route.Open {
-		if customer, _, known := c.snapshot.Key(c.keyDigest); ok && known {
-			c.customer = customer
-		}
-		return nil
-	}
-	if c.proxy.deps.ConfigAge() > c.proxy.deps.MaxKeyAge {
+	if (c.hasKey || !c.route.Open) && c.keysExpired() {
 		return staleRefusal()
 	}
-	customer, _, known := c.snapshot.Key(c.keyDigest)
-	if !ok || !known {
+	c.customer = c.keyHolder(c.snapshot)
+	if c.customer == nil && !c.route.Open {
 		return refusal(refuse.New(refuse.KindKey, refuse.NotRun, "the route needs a valid key", "ask an operator for a key"), 0)
 	}
-	c.customer = customer
 	return nil
 }
 
-// recheckKey verifies before each send that the key has not been withdrawn.
+// keysExpired reports whether the configuration may be too old to accept keys.
+func (c *call) keysExpired() bool { return c.proxy.deps.ConfigAge() > c.proxy.deps.MaxKeyAge }
+
+// keyHolder returns the customer that holds the request's key in a snapshot, or nil.
+func (c *call) keyHolder(s *conf.Snapshot) *model.Customer {
+	if !c.hasKey {
+		return nil
+	}
+	if customer, _, known := s.Key(c.keyDigest); known {
+		return customer
+	}
+	return nil
+}
+
+// recheckKey verifies before each send that the key still belongs to the same customer,
+// or still to none on an open route.
 func (c *call) recheckKey() *response {
-	if c.customer == nil || c.route.Open {
+	if !c.hasKey {
 		return nil
 	}
-	if c.proxy.deps.ConfigAge() > c.proxy.deps.MaxKeyAge {
+	if c.keysExpired() {
 		return staleRefusal()
 	}
-	owner, _, known := c.proxy.deps.Snapshot().Key(c.keyDigest)
-	if !known || owner.ID != c.customer.ID {
-		return refusal(refuse.New(refuse.KindKey, refuse.NotRun, "the key was withdrawn", "ask an operator for a key"), 0)
+	holder := c.keyHolder(c.proxy.deps.Snapshot())
+	if holder == nil && c.customer == nil || holder != nil && c.customer != nil && holder.ID == c.customer.ID {
+		return nil
 	}
-	return nil
+	if c.route.Open {
+		return refusal(refuse.New(refuse.KindStale, refuse.NotRun, "the holder of the key changed", "retry"), shortRetryDelay)
+	}
+	return refusal(refuse.New(refuse.KindKey, refuse.NotRun, "the key was withdrawn", "ask an operator for a key"), 0)
 }
 
 // readBody buffers the whole body, so that the request can be sent again.
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -22,6 +22,7 @@
 	"rhubarbdrift.example/health"
 	"rhubarbdrift.example/model"
 	"rhubarbdrift.example/place"
+	"rhubarbdrift.example/refuse"
 )
 
 var protocol = Protocol{
@@ -236,6 +237,43 @@
 	test.Eq(t, 200, status("/safe/", "new"))
 }
 
+// TestOpenRouteKeys guards against a request on an open route that reaches a target in the
+// name of the former holder of its key: while the configuration may be old, and after the
+// key changed hands while the body arrived.
+func TestOpenRouteKeys(t *testing.T) {
+	tp := newTestProxy(t, okResponse)
+	send := func(key string) int {
+		s, _, _ := tp.send(t.Context(), t, "/open/", key)
+		return s
+	}
+	test.Eq(t, 200, send("key"))
+	test.Eq(t, 200, send("unknown"))
+	tp.age.Store(int64(5 * time.Second))
+	test.Eq(t, 503, send("key"))
+	test.Eq(t, 503, send("unknown"))
+	test.Eq(t, 200, send(""))
+	test.Eq(t, 3, tp.targetScript.requests.Load())
+	tp.age.Store(0)
+	conn, err := net.Dial("tcp", strings.TrimPrefix(tp.url, "http://"))
+	must.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "POST /open/ HTTP/1.1\r\nHost: 127.0.0.1\r\nRequest: 1\r\nKey: key\r\nContent-Length: 2\r\n\r\n1")
+	must.NoError(t, err)
+	for end := time.Now().Add(5 * time.Second); tp.proxy.Running() == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(10 * time.Millisecond) // the key is checked before the body is awaited
+	tp.install(2, "new")
+	_, err = io.WriteString(conn, "0")
+	must.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	must.NoError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	test.Eq(t, 503, resp.StatusCode)
+	test.Eq(t, "not-run", resp.Header.Get(refuse.HeaderRun))
+	test.Eq(t, 3, tp.targetScript.requests.Load())
+}
+
 // TestLeft guards against a target that keeps running a request whose caller closed
 // the connection.
 func TestLeft(t *testing.T) {
