--- a/model/check.go
+++ b/model/check.go
@@ -132,6 +132,9 @@
 	if c.Burst < 1 {
 		return fault.Invalid(field("customer", string(c.ID), "burst"), "must be at least 1 request", "set a burst")
 	}
+	if len(c.Regions) > 0 {
+		return regionsUnsupported("customer", string(c.ID))
+	}
 	for _, k := range c.Keys {
 		if k.ID == "" || !k.Digest.Valid() {
 			return fault.Invalid(field("customer", string(c.ID), "keys"),
@@ -271,9 +274,19 @@
 	if r.Deadline < 0 || r.MaxBodyBytes < 0 {
 		return fault.Invalid(field("route", string(r.ID), "deadline or body"), "must not be negative", "remove the field for the default")
 	}
+	if len(r.Regions) > 0 {
+		return regionsUnsupported("route", string(r.ID))
+	}
 	return nil
 }
 
+// regionsUnsupported returns the error for allowed regions in an intent that an operator
+// plans. Package gate doesn't apply them, and a restriction without effect must not be
+// accepted.
+func regionsUnsupported(kind, id string) error {
+	return fault.Invalid(field(kind, id, "regions"), "are not supported by the daemon", "remove the field")
+}
+
 // field returns the name of a field for an error, as "customer depots: rate".
 func field(kind, id, name string) string { return kind + " " + id + ": " + name }
 
--- a/model/intent.go
+++ b/model/intent.go
@@ -54,6 +54,8 @@
 	Weight int        `json:"weight,omitempty" cbor:"4,keyasint,omitempty"` // relative share of a pool's slots; below 1 counts as 1
 	Keys   []Key      `json:"keys,omitempty"   cbor:"5,keyasint,omitempty"`
 	Rank   *int       `json:"rank,omitempty"   cbor:"6,keyasint,omitempty"` // overrides the route's rank
+	// Regions are the only regions in which the customer's requests may be served; empty: all.
+	Regions []Region `json:"regions,omitempty" cbor:"7,keyasint,omitempty"`
 }
 
 // Route maps requests to a pool by host and path prefix, and sets their policies.
@@ -72,6 +74,8 @@
 	Rank         int                `json:"rank,omitempty"      cbor:"12,keyasint,omitempty"` // 0 is the most urgent
 	Attempts     int                `json:"attempts,omitempty"  cbor:"13,keyasint,omitempty"` // number of targets that one request may be sent to; 0: no limit by the route
 	Split        []SplitDestination `json:"split,omitempty"     cbor:"14,keyasint,omitempty"` // distributes the requests over several pools; Pool is used only if the weights add up to 0
+	// Regions are the only regions in which requests of the route may be served; empty: all.
+	Regions []Region `json:"regions,omitempty" cbor:"15,keyasint,omitempty"`
 }
 
 // DefaultDeadline is the time, in milliseconds, that a request may take on a route
