place, proxy: a request reaches targets of its allowed regions only

place.Request.Regions filters the targets in Balancer.eligible, which every choice goes through: first sends, repeats, hedged requests and probes of idle targets. Retry-After (PauseLeft) counts the pauses of allowed targets only, so it takes the request instead of the pool; the calls in TestPauseLeft are adapted, its expectations are unchanged.

recheckKey applies the regions of the newest configuration before each send, with or without a key: a request is served only where the configuration at its arrival and the newest one both allow it. The newest route is the one that matches the host and path now.

If the route and the customer have no region in common, the request is refused before its body is read. If the pool has targets but none in an allowed region, it is refused when it would be sent. Both are 503, not run, with a Retry-After of 3 to 4.5 s, since a corrected configuration takes effect in 2 to 3 s. One log line for each configuration version, and the counter region_refusals.

--- a/place/announce.go
+++ b/place/announce.go
@@ -47,18 +47,18 @@
 	return !t.isLeaving() && !now.Before(t.announced.pausedUntil)
 }
 
-// PauseLeft returns the time until one of the targets of the pool takes requests again,
-// if all that don't leave want a pause, or else 0.
-func (b *Balancer) PauseLeft(now time.Time, id model.PoolID) time.Duration {
+// PauseLeft returns the time until one of the targets that may get the request takes
+// requests again, if all that don't leave want a pause, or else 0.
+func (b *Balancer) PauseLeft(now time.Time, r *Request) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	p := b.pools[id]
+	p := b.pools[r.Pool]
 	if p == nil {
 		return 0
 	}
 	left := time.Duration(0)
 	for _, t := range p.targets {
-		if t.isLeaving() {
+		if t.isLeaving() || !r.allows(t) {
 			continue
 		}
 		pause := max(t.announced.pausedUntil.Sub(now), 0)
--- a/place/announce_test.go
+++ b/place/announce_test.go
@@ -63,11 +63,11 @@
 	other := model.Instance{Pool: "p", Target: model.Target{ID: "b", Region: "r", Domain: "d", Slots: 3}}
 	b.Update(now, map[model.PoolID][]*model.Instance{"p": {&target.Instance, &other}})
 	b.targets["a"].Announce(now, Announcement{RetryAfter: time.Minute})
-	test.Eq(t, 0, b.PauseLeft(now, "p"))
+	test.Eq(t, 0, b.PauseLeft(now, &Request{Pool: "p"}))
 	b.targets["b"].Announce(now, Announcement{RetryAfter: time.Second})
-	test.Eq(t, time.Second, b.PauseLeft(now, "p"))
+	test.Eq(t, time.Second, b.PauseLeft(now, &Request{Pool: "p"}))
 	b.targets["b"].Announce(now, Announcement{Leaving: true})
-	test.Eq(t, time.Minute, b.PauseLeft(now, "p"))
+	test.Eq(t, time.Minute, b.PauseLeft(now, &Request{Pool: "p"}))
 }
 
 // TestLimitEnds guards against a limit that outlives the target's word or ends too early.
--- a/place/choose.go
+++ b/place/choose.go
@@ -66,6 +66,14 @@
 	Urgent bool
 	// Tried lists the targets that must not get the request again.
 	Tried []model.TargetID
+	// Regions are the only regions whose targets may get the request; nil: all. An empty
+	// list that is not nil allows none.
+	Regions []model.Region
+}
+
+// allows reports whether the target is in an allowed region.
+func (r *Request) allows(t *Target) bool {
+	return r.Regions == nil || slices.Contains(r.Regions, t.Region)
 }
 
 // maxLimitedTargets is the number of targets with a limit that are asked for one
@@ -151,7 +159,7 @@
 func (b *Balancer) eligible(now time.Time, p *pool, r Request) (limited, unlimited targets) {
 	for _, t := range p.targets {
 		switch {
-		case !t.acceptsRequests(now) || slices.Contains(r.Tried, t.ID):
+		case !t.acceptsRequests(now) || !r.allows(t) || slices.Contains(r.Tried, t.ID):
 		case t.announced.pacer != nil:
 			limited.add(t, b.location.Region)
 		default:
@@ -161,6 +169,27 @@
 	return limited, unlimited
 }
 
+// ExcludedByRegions reports whether the request has no target although the pool has some,
+// since none of those that don't leave is in an allowed region.
+func (b *Balancer) ExcludedByRegions(r *Request) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r.Regions == nil || b.pools[r.Pool] == nil {
+		return false
+	}
+	excluded := false
+	for _, t := range b.pools[r.Pool].targets {
+		switch {
+		case t.isLeaving():
+		case r.allows(t):
+			return false
+		default:
+			excluded = true
+		}
+	}
+	return excluded
+}
+
 // candidate is a target with its expected cost in seconds.
 type candidate struct {
 	target *Target
--- a/proxy/announce_test.go
+++ b/proxy/announce_test.go
@@ -26,6 +26,8 @@
 type announcers struct {
 	balancer  *place.Balancer
 	instances []*model.Instance
+	holder    *conf.Holder
+	proxy     *Proxy
 	url       string
 
 	mu       sync.Mutex
@@ -44,11 +46,11 @@
 			Target: model.Target{ID: id, Address: strings.TrimPrefix(server.URL, "http://"), Region: "r", Domain: "d", Slots: 4}})
 	}
 	a.list(a.instances...)
-	holder := conf.NewHolder()
-	holder.Install(conf.NewSnapshot(1, &model.Intent{Pools: []model.Pool{{ID: "p"}},
+	a.holder = conf.NewHolder()
+	a.holder.Install(conf.NewSnapshot(1, &model.Intent{Pools: []model.Pool{{ID: "p"}},
 		Routes: []model.Route{{ID: "open", Host: "127.0.0.1", Prefix: "/", Pool: "p", Repeat: model.RepeatAlways, Deadline: 2000, Open: true}}}))
-	p := New(Dependencies{
-		Protocol: protocol, Snapshot: holder.Current, MaxKeyAge: time.Hour, ConfigAge: func() time.Duration { return 0 }, Limiter: unlimited{}, Balancer: a.balancer,
+	a.proxy = New(Dependencies{
+		Protocol: protocol, Snapshot: a.holder.Current, MaxKeyAge: time.Hour, ConfigAge: func() time.Duration { return 0 }, Limiter: unlimited{}, Balancer: a.balancer,
 		Exchange: exch.New(exch.WithHeaders(exch.Headers{Deadline: "Deadline", Expect: "Expected", Shed: "Shed", ShedAnyStatus: true, Request: "Request", Signature: "Signature",
 			Drain: "Leaving", Limit: "Limit", RetryAfter: "Retry-After"})),
 		ReportObservation: func(model.TargetID, health.Observation, float64) {},
@@ -56,7 +58,7 @@
 		ReportLeaving:     func(model.TargetID, int64) {},
 		ReportLimit:       func(model.TargetID, bool, model.Rate) {},
 	})
-	server := httptest.NewServer(p)
+	server := httptest.NewServer(a.proxy)
 	t.Cleanup(server.Close)
 	a.url = server.URL
 	return a
@@ -74,6 +76,9 @@
 		w.Header()[name] = values
 	}
 	a.mu.Unlock()
+	if delay, err := time.ParseDuration(w.Header().Get("Delay")); err == nil {
+		time.Sleep(delay)
+	}
 	w.Header().Set("Request", r.Header.Get("Request"))
 	if w.Header().Get("Shed") != "" {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -34,11 +34,14 @@
 	start     time.Time
 	deadline  time.Time
 	snapshot  *conf.Snapshot
+	host      string // lower case, without port
+	path      string // without query
 	route     *model.Route
 	pool      model.PoolID
 	customer  *model.Customer // nil on open routes without a valid key
 	hasKey    bool            // the request carries a key
 	keyDigest model.Digest
+	regions   []model.Region // regions whose targets may get the request; nil: all
 	body      []byte
 
 	admitted   bool // a token of the customer's limit was consumed
@@ -56,7 +59,7 @@
 // that was refused without a byte sent to a target gives its token of the
 // customer's limit back.
 func (c *call) serve() *response {
-	for _, step := range []func() *response{c.resolveRoute, c.refuseInStop, c.authenticate, c.readBody, c.awaitTurn, c.refuseInStop, c.refuseLate, c.admit} {
+	for _, step := range []func() *response{c.resolveRoute, c.refuseInStop, c.authenticate, c.refuseWithoutRegion, c.readBody, c.awaitTurn, c.refuseInStop, c.refuseLate, c.admit} {
 		if resp := step(); resp != nil {
 			return resp
 		}
@@ -83,6 +86,7 @@
 		host = name
 	}
 	path, _, _ := strings.Cut(c.request.RequestURI, "?")
+	c.host, c.path = host, path
 	route, ok := c.snapshot.Route(host, path)
 	if !ok {
 		return c.refuseUnlessStale(refuse.New(refuse.KindRoute, refuse.NotRun, "no route matches the host and path", "check the URL"))
@@ -202,16 +206,19 @@
 }
 
 // recheckKey verifies before each send that the key still belongs to the same customer,
-// or still to none on an open route.
+// or still to none on an open route, and applies the regions of the newest configuration.
 func (c *call) recheckKey() *response {
+	newest := c.proxy.deps.Snapshot()
 	if !c.hasKey {
+		c.restrictRegions(newest, nil)
 		return nil
 	}
 	if c.keysExpired() {
 		return staleRefusal()
 	}
-	holder := c.keyHolder(c.proxy.deps.Snapshot())
+	holder := c.keyHolder(newest)
 	if holder == nil && c.customer == nil || holder != nil && c.customer != nil && holder.ID == c.customer.ID {
+		c.restrictRegions(newest, holder)
 		return nil
 	}
 	if c.route.Open {
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -82,17 +82,21 @@
 	log          zerolog.Logger
 	metrics      proxyMetrics
 	requestStats requestStats
-	running      atomic.Int64
-	drainOnce    sync.Once
-	answerBy     atomic.Pointer[time.Time] // during a planned stop: when all requests must have been answered; nil: no stop
-	stopped      chan struct{}             // closed at that time
+	// regionsLogged is the configuration for which requests without an allowed target were logged.
+	regionsLogged versionMark
+	running       atomic.Int64
+	drainOnce     sync.Once
+	answerBy      atomic.Pointer[time.Time] // during a planned stop: when all requests must have been answered; nil: no stop
+	stopped       chan struct{}             // closed at that time
 }
 
 type proxyMetrics struct {
 	scope   tally.Scope
 	retries tally.Counter
-	latency tally.Histogram
-	running tally.Gauge
+	// regionRefusals counts requests that no target may serve because of allowed regions.
+	regionRefusals tally.Counter
+	latency        tally.Histogram
+	running        tally.Gauge
 }
 
 // Option configures a Proxy.
@@ -126,8 +130,10 @@
 	return proxyMetrics{
 		scope:   s,
 		retries: s.Counter("retries"),
-		latency: s.Histogram("latency", tally.MustMakeExponentialDurationBuckets(latencyFirst, 2, latencyCount)),
-		running: s.Gauge("running"),
+
+		regionRefusals: s.Counter("region_refusals"),
+		latency:        s.Histogram("latency", tally.MustMakeExponentialDurationBuckets(latencyFirst, 2, latencyCount)),
+		running:        s.Gauge("running"),
 	}
 }
 
--- /dev/null
+++ b/proxy/regions.go
@@ -0,0 +1,79 @@
+package proxy
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"rhubarbdrift.example/conf"
+	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/refuse"
+)
+
+// regionsRetryDelay is the shortest Retry-After of a request whose allowed regions have no
+// target: the time in which a corrected configuration takes effect.
+const regionsRetryDelay = 3 * time.Second
+
+// restrictRegions sets the regions in which the request may be served: those that the
+// configuration at its arrival and the newest one both allow. Customer is that of the
+// request in the newest configuration, or nil.
+func (c *call) restrictRegions(newest *conf.Snapshot, customer *model.Customer) {
+	lists := [][]model.Region{c.route.Regions, nil, nil, nil}
+	if c.customer != nil {
+		lists[1] = c.customer.Regions
+	}
+	if newest != c.snapshot {
+		if route, ok := newest.Route(c.host, c.path); ok {
+			lists[2] = route.Regions
+		}
+		if customer != nil {
+			lists[3] = customer.Regions
+		}
+	}
+	c.regions = model.CommonRegions(lists...)
+}
+
+// refuseWithoutRegion refuses a request whose route and customer have no allowed region in
+// common, before its body is read.
+func (c *call) refuseWithoutRegion() *response {
+	c.restrictRegions(c.snapshot, c.customer)
+	if c.regions == nil || len(c.regions) > 0 {
+		return nil
+	}
+	return c.regionsRefusal()
+}
+
+// regionsRefusal returns the refusal of a request that no target may serve because of its
+// allowed regions.
+func (c *call) regionsRefusal() *response {
+	message := "no target of the pool is in the regions that the route and the customer allow"
+	if len(c.regions) == 0 {
+		message = "the route and the customer allow no region in common"
+	}
+	c.proxy.metrics.regionRefusals.Inc(1)
+	if version := c.proxy.deps.Snapshot().Version(); c.proxy.regionsLogged.isNew(version) {
+		e := c.proxy.log.Warn().Str("request", c.id).Str("route", string(c.route.ID)).Str("pool", string(c.pool)).Uint64("version", uint64(version))
+		if c.customer != nil {
+			e = e.Str("customer", string(c.customer.ID))
+		}
+		e.Any("regions", c.regions).Str("cause", message).Msg("no target in the allowed regions; further requests of this configuration are not logged")
+	}
+	delay := regionsRetryDelay + rand.N(regionsRetryDelay/2) // spread, so that callers don't return all at once
+	return refusal(refuse.New(refuse.KindBusy, refuse.NotRun, message, "retry later, or ask an operator to change allowedRegions"), delay)
+}
+
+// versionMark remembers the newest configuration version that was logged.
+type versionMark struct{ next atomic.Uint64 } // the lowest version not logged
+
+// isNew reports whether the version is newer than all before, and remembers it.
+func (m *versionMark) isNew(version model.ConfigVersion) bool {
+	for {
+		next := m.next.Load()
+		if uint64(version) < next {
+			return false
+		}
+		if m.next.CompareAndSwap(next, uint64(version)+1) {
+			return true
+		}
+	}
+}
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -109,13 +109,13 @@
 	// A failure of the last send is final, so a repeatable request that was sent
 	// before is placed as carefully as one that must not be repeated.
 	mayRepeat := d.repeatable() && d.sends == 0
-	criteria := place.Request{Pool: d.pool, UsualSeconds: d.seconds, Bytes: d.bytes, Repeatable: mayRepeat, Urgent: d.urgent(), Tried: d.tried}
+	criteria := place.Request{Pool: d.pool, UsualSeconds: d.seconds, Bytes: d.bytes, Repeatable: mayRepeat, Urgent: d.urgent(), Tried: d.tried, Regions: d.regions}
 	t, ok := d.proxy.deps.Balancer.Choose(time.Now(), criteria, rand.IntN)
 	if !ok {
 		if d.fallback != nil || d.mayHaveRun {
 			return d.finish()
 		}
-		return refusal(refuse.New(refuse.KindBusy, refuse.NotRun, "no target of the pool takes requests", "retry later"), d.returnDelay())
+		return d.noTargetRefusal(&criteria)
 	}
 	d.tried = append(d.tried, t.ID)
 	d.inFlight++
@@ -127,6 +127,14 @@
 	return nil
 }
 
+// noTargetRefusal returns the refusal of a request for which no target was found.
+func (d *dispatch) noTargetRefusal(criteria *place.Request) *response {
+	if d.proxy.deps.Balancer.ExcludedByRegions(criteria) {
+		return d.regionsRefusal()
+	}
+	return refusal(refuse.New(refuse.KindBusy, refuse.NotRun, "no target of the pool takes requests", "retry later"), d.returnDelay())
+}
+
 // recoverExchange ends an exchange that panicked, so that it does not end the process. The
 // target may have run the request.
 func (d *dispatch) recoverExchange(s *sendAttempt) {
@@ -160,7 +168,7 @@
 // is spread, so that callers don't return all at once, and shorter for the most urgent
 // requests, so that these return first.
 func (d *dispatch) returnDelay() time.Duration {
-	earliest := min(max(d.usualTime(), d.proxy.deps.Balancer.PauseLeft(time.Now(), d.pool)), maxReturnDelay)
+	earliest := min(max(d.usualTime(), d.proxy.deps.Balancer.PauseLeft(time.Now(), &place.Request{Pool: d.pool, Regions: d.regions})), maxReturnDelay)
 	spread := time.Duration(rand.Int64N(int64(earliest)/2 + 1))
 	if d.urgent() {
 		return earliest + spread
