--- a/watch/config.go
+++ b/watch/config.go
@@ -114,5 +114,9 @@
 	if c.holder.Install(conf.NewSnapshot(version, intent)) {
 		c.log.Info().Uint64("version", uint64(version)).Int("routes", len(intent.Routes)).Int("customers", len(intent.Customers)).
 			Uint64("revision", uint64(o.Version)).Dur("age", c.age()).Msg("configuration in force")
+		if none := intent.RegionConflicts(); none.Pairs > 0 {
+			c.log.Warn().Uint64("version", uint64(version)).Str("route", string(none.Route)).Str("customer", string(none.Customer)).Int("pairs", none.Pairs).
+				Msg("routes and customers without a common allowed region; their requests are refused")
+		}
 	}
 }
