watch: evacuations of failure domains as a relayed list

Evacuations follows the list of evacuated domains like that of the targets: one host reads it, neighbours relay it, its proof is that of the configuration. The watch of the reading host is restarted if the list has not reached a version that another list saw 2 s before; the store holds it for less than that, since the version rises with every heartbeat of a target. Observers passes what the configuration's watch detects to both lists.

Entries that can't be decoded are logged once and left out, one by one.

--- /dev/null
+++ b/watch/evacuations.go
@@ -0,0 +1,156 @@
+package watch
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"time"
+
+	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/store"
+)
+
+const (
+	// evacuationDelay combines evacuations of several failure domains into one read.
+	evacuationDelay = 100 * time.Millisecond
+	// maxEvacuationBehind is how long the list may stay behind a version that another list
+	// has seen before its watch is restarted: longer than the store holds a watch without
+	// changes. A silent watch, and the loss of the only reader right before its restart,
+	// which takes the others 2 s to notice, together stay below 5 s.
+	maxEvacuationBehind = 2 * time.Second
+)
+
+// EvacuationDecoder decodes the platform's format of an evacuation.
+type EvacuationDecoder interface {
+	// Evacuation returns the failure domain to which no requests are to be sent. Its errors
+	// are of package fault.
+	Evacuation(name string, value []byte) (model.Domain, error)
+}
+
+// Evacuations follows the list of evacuated failure domains in the store.
+type Evacuations struct {
+	*follower
+	decoder EvacuationDecoder
+	notify  func(map[model.Domain]bool)
+
+	stateMu sync.Mutex
+	entries map[string]model.Domain // by name of the entry
+	stale   staleness
+}
+
+// NewEvacuations returns an Evacuations that follows the entries of a kind. It calls notify
+// with each list that was read, also if it is empty or equal to the one before. See
+// NewTargets for storeAge and storeAnswers.
+func NewEvacuations(source Watcher, kind store.Kind, d EvacuationDecoder, notify func(map[model.Domain]bool), storeAge func() time.Duration, storeAnswers func() bool, opts ...Option) *Evacuations {
+	e := &Evacuations{follower: newFollower(source, kind, evacuationDelay, newOptions(opts)), decoder: d, notify: notify, entries: make(map[string]model.Domain)}
+	e.maxValue = maxTargetValue
+	e.onList, e.onEvents, e.storeAge, e.mayCall, e.storeAnswers = e.replace, e.update, storeAge, e.storeReachable, storeAnswers
+	return e
+}
+
+// Run follows the evacuations until ctx ends. The error is always nil.
+func (e *Evacuations) Run(ctx context.Context) error { return e.run(ctx) }
+
+// storeReachable reports whether the store is to be called, as for Targets.
+func (e *Evacuations) storeReachable() bool { return e.Version() == 0 || e.storeAge() < maxCallAge }
+
+// VersionSeen implements StoreObserver. It restarts the watch of a host that reads the store
+// if the list stays behind the version: the watch may wait on a dead connection.
+func (e *Evacuations) VersionSeen(v store.Version) {
+	known := e.Version()
+	e.stateMu.Lock()
+	defer e.stateMu.Unlock()
+	if e.stale.exceeds(known, v, maxEvacuationBehind) && e.lastCallOK.Load() {
+		e.restartWatch()
+	}
+}
+
+// StoreReturned implements StoreObserver. It has no effect: evacuations don't lapse.
+func (*Evacuations) StoreReturned() {}
+
+// replace applies a complete list.
+func (e *Evacuations) replace(objects []store.Object) {
+	e.stateMu.Lock()
+	defer e.stateMu.Unlock()
+	clear(e.entries)
+	for i := range objects {
+		e.put(&objects[i])
+	}
+	e.publish()
+}
+
+// update applies the events of a watch.
+func (e *Evacuations) update(events []store.Event) {
+	e.stateMu.Lock()
+	defer e.stateMu.Unlock()
+	for i := range events {
+		o := &events[i].Object
+		delete(e.entries, o.Name)
+		switch {
+		case !events[i].Deleted:
+			e.put(o)
+		case o.Problem == "":
+			e.odd.remove(o.Name)
+		}
+	}
+	e.publish()
+}
+
+// put stores an entry. One that cannot be decoded is logged once and has no effect.
+func (e *Evacuations) put(o *store.Object) {
+	domain, err := e.decoder.Evacuation(o.Name, o.Value)
+	if err != nil {
+		e.odd.add(e.kind, o, err.Error())
+		return
+	}
+	e.odd.remove(o.Name)
+	e.entries[o.Name] = domain
+}
+
+// publish passes the evacuated domains to notify. The caller holds e.stateMu.
+func (e *Evacuations) publish() {
+	domains := make(map[model.Domain]bool, len(e.entries))
+	for domain := range maps.Values(e.entries) {
+		domains[domain] = true
+	}
+	e.notify(domains)
+}
+
+// staleness measures how long a list has not reached a version of the store that other
+// lists have seen. It is not safe for concurrent use.
+type staleness struct {
+	version store.Version // that the list has not reached; 0: none
+	since   time.Time     // when it was seen
+}
+
+// exceeds reports whether a list of the known version has not reached an earlier seen one
+// for limit, now that v was seen. The measurement begins again then.
+func (s *staleness) exceeds(known, v store.Version, limit time.Duration) bool {
+	now := time.Now()
+	if s.version == 0 || s.version <= known {
+		s.version, s.since = v, now
+		return false
+	}
+	if now.Sub(s.since) < limit {
+		return false
+	}
+	s.version = 0
+	return true
+}
+
+// Observers passes what is detected about the store to several observers.
+type Observers []StoreObserver
+
+// VersionSeen implements StoreObserver.
+func (o Observers) VersionSeen(v store.Version) {
+	for _, observer := range o {
+		observer.VersionSeen(v)
+	}
+}
+
+// StoreReturned implements StoreObserver.
+func (o Observers) StoreReturned() {
+	for _, observer := range o {
+		observer.StoreReturned()
+	}
+}
--- a/watch/reader_test.go
+++ b/watch/reader_test.go
@@ -66,12 +66,12 @@
 }
 
 // timesAfterLostReader returns the times after a change in the store at which a host uses
-// the new configuration and leaves out a target that leaves, if the first host was lost
-// right after its last proof, from which the change is missing. This host had the proof
-// by relay, and its neighbours have no newer one.
-func timesAfterLostReader(t *testing.T) (configTime, targetTime time.Duration) {
+// the new configuration, leaves out a target that leaves and knows an evacuation, if the
+// first host was lost right after its last proof, from which the change is missing. This
+// host had the proof by relay, and its neighbours have no newer one.
+func timesAfterLostReader(t *testing.T) (configTime, targetTime, evacuationTime time.Duration) {
 	t.Helper()
-	var configAt, targetAt atomic.Int64
+	var configAt, targetAt, evacuationAt atomic.Int64
 	const (
 		relayedAfter = 700 * time.Millisecond // age of the last proof when it reaches this host
 		end          = 5 * time.Second
@@ -84,7 +84,8 @@
 		o.Version = version
 		return store.Event{Object: o}
 	}
-	s := &remoteStore{version: 9, events: map[store.Kind][]store.Event{"config": {config(8, "12")}, "targets": {target(9, true)}}}
+	s := &remoteStore{version: 9, events: map[store.Kind][]store.Event{"config": {config(8, "12")}, "targets": {target(9, true)},
+		"evacuations": {{Object: store.Object{Name: "a", Value: []byte("{}"), Version: 9}}}}}
 	start := time.Now()
 	clock := WithClock(func() time.Duration { return time.Since(start) + time.Hour })
 	holder := conf.NewHolder()
@@ -94,7 +95,12 @@
 			targetAt.CompareAndSwap(0, int64(time.Since(start)))
 		}
 	}, func() time.Duration { return follower.Age() }, func() bool { return follower.StoreAnswers() }, clock)
-	follower = NewConfigFollower(s, "config", "main", configDecoder{}, holder, targets, clock)
+	evacuations := NewEvacuations(s, "evacuations", domainDecoder{}, func(domains map[model.Domain]bool) {
+		if domains["a"] {
+			evacuationAt.CompareAndSwap(0, int64(time.Since(start)))
+		}
+	}, func() time.Duration { return follower.Age() }, func() bool { return follower.StoreAnswers() }, clock)
+	follower = NewConfigFollower(s, "config", "main", configDecoder{}, holder, Observers{targets, evacuations}, clock)
 	holder.Subscribe(func(c *conf.Snapshot) {
 		if c.Version() == 2 {
 			configAt.Store(int64(time.Since(start)))
@@ -107,36 +113,41 @@
 	time.Sleep(relayedAfter)
 	relay(&mesh.ListUpdate{Complete: true, Events: []store.Event{config(1, "1")}}, follower, 0, relayedAfter)
 	relay(&mesh.ListUpdate{Complete: true, Events: []store.Event{target(2, false)}}, targets, 0, relayedAfter)
+	relay(&mesh.ListUpdate{Complete: true}, evacuations, 0, relayedAfter)
 	ctx, cancel := context.WithTimeout(t.Context(), end)
 	defer func() { cancel(); synctest.Wait() }()
 	go func() { _ = follower.Run(ctx) }()
 	go func() { _ = targets.Run(ctx) }()
+	go func() { _ = evacuations.Run(ctx) }()
 	// The parent answers until its own copy is too old to be relayed.
 	for age := relayedAfter; age < maxRelayAge; age = time.Since(start) {
 		relay(&mesh.ListUpdate{}, follower, 7, age)
 		relay(&mesh.ListUpdate{}, targets, 7, age)
+		relay(&mesh.ListUpdate{}, evacuations, 7, age)
 		time.Sleep(80 * time.Millisecond)
 	}
 	follower.ApplyUpdate(&mesh.ListUpdate{}, 7, 0, "parent")
 	targets.ApplyUpdate(&mesh.ListUpdate{}, 7, 0, "parent")
+	evacuations.ApplyUpdate(&mesh.ListUpdate{}, 7, 0, "parent")
 	time.Sleep(end - time.Since(start))
-	return time.Duration(configAt.Load()), time.Duration(targetAt.Load())
+	return time.Duration(configAt.Load()), time.Duration(targetAt.Load()), time.Duration(evacuationAt.Load())
 }
 
 // TestLateAfterLostReader guards against changes that come too late when the only reader is lost.
 func TestLateAfterLostReader(t *testing.T) {
 	const bound = 2 * time.Second
-	var worstConfig, worstTarget time.Duration
+	var worstConfig, worstTarget, worstEvacuation time.Duration
 	for range 300 {
 		synctest.Test(t, func(t *testing.T) {
-			configTime, targetTime := timesAfterLostReader(t)
-			test.Greater(t, 0, min(configTime, targetTime))
-			worstConfig, worstTarget = max(worstConfig, configTime), max(worstTarget, targetTime)
+			configTime, targetTime, evacuationTime := timesAfterLostReader(t)
+			test.Greater(t, 0, min(configTime, targetTime, evacuationTime))
+			worstConfig, worstTarget, worstEvacuation = max(worstConfig, configTime), max(worstTarget, targetTime), max(worstEvacuation, evacuationTime)
 		})
 	}
-	t.Logf("configuration in force after %s at most, leaving target unused after %s", worstConfig, worstTarget)
+	t.Logf("configuration in force after %s at most, leaving target unused after %s, evacuation known after %s", worstConfig, worstTarget, worstEvacuation)
 	test.Less(t, bound, worstConfig)
 	test.Less(t, bound, worstTarget)
+	test.Less(t, bound, worstEvacuation)
 }
 
 // afterOutage runs a host whose neighbour relays the configuration again after the store
