place, proxy: targets of evacuated failure domains get no request

Balancer.SetEvacuated sets the evacuated domains; eligible leaves out their targets, so that no first send, repeat, hedged request or probe reaches them. Requests in flight are counted by domain and end normally. With WithEvacuations no target is chosen before the first list, and HoldRequests stops choices for a moment, for a host whose list may be older than the bound.

If all targets that a request may use are evacuated, it is refused as not run with a Retry-After of 3 to 4.5 s. Exclusion replaces ExcludedByRegions and names the reason. A hedged request that finds no target is no refusal: it is neither counted nor logged as one.

Evidence: the tests can't be compiled before.

--- a/place/announce.go
+++ b/place/announce.go
@@ -58,7 +58,7 @@
 	}
 	left := time.Duration(0)
 	for _, t := range p.targets {
-		if t.isLeaving() || !r.allows(t) {
+		if t.isLeaving() || !r.allows(t) || b.evacuation.domains[t.Domain] {
 			continue
 		}
 		pause := max(t.announced.pausedUntil.Sub(now), 0)
--- a/place/balancer.go
+++ b/place/balancer.go
@@ -28,6 +28,7 @@
 	// share of targets' limits that it uses.
 	fleetShare   float64
 	reportDemand DemandReport
+	evacuation   evacuation
 }
 
 // DemandReport reports to the other daemons that a request of this one would have used a
@@ -124,6 +125,7 @@
 			if isNew {
 				t = &Target{balancer: b, firstSeen: now}
 			}
+			b.evacuation.move(t.inFlight, t.Domain, instance.Domain)
 			t.Instance = *instance
 			if isNew {
 				t.restoreAnnounced()
@@ -212,6 +214,7 @@
 	t.balancer.mu.Lock()
 	defer t.balancer.mu.Unlock()
 	t.inFlight++
+	t.balancer.evacuation.count(t.Domain, 1)
 	t.lastUsed = now
 	t.adjustLoad(now, 1)
 	t.balancer.addRequests(now, t, 1)
@@ -229,6 +232,7 @@
 	t.balancer.mu.Lock()
 	defer t.balancer.mu.Unlock()
 	t.inFlight--
+	t.balancer.evacuation.count(t.Domain, -1)
 	t.adjustLoad(now, -1)
 }
 
--- a/place/choose.go
+++ b/place/choose.go
@@ -157,9 +157,12 @@
 // eligible returns the targets of the pool that may get the request, those with a limit
 // and those without one. The caller holds b.mu.
 func (b *Balancer) eligible(now time.Time, p *pool, r Request) (limited, unlimited targets) {
+	if !b.evacuation.usable(now) {
+		return targets{}, targets{}
+	}
 	for _, t := range p.targets {
 		switch {
-		case !t.acceptsRequests(now) || !r.allows(t) || slices.Contains(r.Tried, t.ID):
+		case !t.acceptsRequests(now) || !r.allows(t) || b.evacuation.domains[t.Domain] || slices.Contains(r.Tried, t.ID):
 		case t.announced.pacer != nil:
 			limited.add(t, b.location.Region)
 		default:
@@ -169,27 +172,6 @@
 	return limited, unlimited
 }
 
-// ExcludedByRegions reports whether the request has no target although the pool has some,
-// since none of those that don't leave is in an allowed region.
-func (b *Balancer) ExcludedByRegions(r *Request) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if r.Regions == nil || b.pools[r.Pool] == nil {
-		return false
-	}
-	excluded := false
-	for _, t := range b.pools[r.Pool].targets {
-		switch {
-		case t.isLeaving():
-		case r.allows(t):
-			return false
-		default:
-			excluded = true
-		}
-	}
-	return excluded
-}
-
 // candidate is a target with its expected cost in seconds.
 type candidate struct {
 	target *Target
--- a/place/regions_test.go
+++ b/place/regions_test.go
@@ -39,12 +39,14 @@
 	test.Eq(t, map[model.Region]bool{}, choose(Request{Regions: []model.Region{}}))
 	test.MapContainsKey(t, choose(Request{}), "r")
 
-	excluded := func(regions ...model.Region) bool { return b.ExcludedByRegions(&Request{Pool: "p", Regions: regions}) }
+	excluded := func(regions ...model.Region) bool {
+		return b.Exclusion(now, &Request{Pool: "p", Regions: regions}) == ExcludedByRegions
+	}
 	test.False(t, excluded())
 	test.False(t, excluded("q", "x"))
 	test.True(t, excluded("x"))
-	test.True(t, b.ExcludedByRegions(&Request{Pool: "p", Regions: []model.Region{}}))
-	test.False(t, b.ExcludedByRegions(&Request{Pool: "none", Regions: []model.Region{"x"}}))
+	test.Eq(t, ExcludedByRegions, b.Exclusion(now, &Request{Pool: "p", Regions: []model.Region{}}))
+	test.Eq(t, NotExcluded, b.Exclusion(now, &Request{Pool: "none", Regions: []model.Region{"x"}}))
 	must.True(t, b.targets["q1"].Announce(now, Announcement{Leaving: true}).Leaving)
 	test.True(t, excluded("q"))
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -95,8 +95,10 @@
 	retries tally.Counter
 	// regionRefusals counts requests that no target may serve because of allowed regions.
 	regionRefusals tally.Counter
-	latency        tally.Histogram
-	running        tally.Gauge
+	// evacuationRefusals counts requests whose targets are all in evacuated failure domains.
+	evacuationRefusals tally.Counter
+	latency            tally.Histogram
+	running            tally.Gauge
 }
 
 // Option configures a Proxy.
@@ -131,9 +133,10 @@
 		scope:   s,
 		retries: s.Counter("retries"),
 
-		regionRefusals: s.Counter("region_refusals"),
-		latency:        s.Histogram("latency", tally.MustMakeExponentialDurationBuckets(latencyFirst, 2, latencyCount)),
-		running:        s.Gauge("running"),
+		regionRefusals:     s.Counter("region_refusals"),
+		evacuationRefusals: s.Counter("evacuation_refusals"),
+		latency:            s.Histogram("latency", tally.MustMakeExponentialDurationBuckets(latencyFirst, 2, latencyCount)),
+		running:            s.Gauge("running"),
 	}
 }
 
--- a/proxy/regions.go
+++ b/proxy/regions.go
@@ -10,9 +10,14 @@
 	"rhubarbdrift.example/refuse"
 )
 
-// regionsRetryDelay is the shortest Retry-After of a request whose allowed regions have no
-// target: the time in which a corrected configuration takes effect.
-const regionsRetryDelay = 3 * time.Second
+// minPlacementDelay is the shortest Retry-After of a request that no target may serve because
+// of its allowed regions or of evacuations: the time in which a corrected configuration
+// takes effect.
+const minPlacementDelay = 3 * time.Second
+
+// placementDelay returns the Retry-After of such a request. It is spread, so that callers
+// don't return all at once.
+func placementDelay() time.Duration { return minPlacementDelay + rand.N(minPlacementDelay/2) }
 
 // restrictRegions sets the regions in which the request may be served: those that the
 // configuration at its arrival and the newest one both allow. Customer is that of the
@@ -58,8 +63,7 @@
 		}
 		e.Any("regions", c.regions).Str("cause", message).Msg("no target in the allowed regions; further requests of this configuration are not logged")
 	}
-	delay := regionsRetryDelay + rand.N(regionsRetryDelay/2) // spread, so that callers don't return all at once
-	return refusal(refuse.New(refuse.KindBusy, refuse.NotRun, message, "retry later, or ask an operator to change allowedRegions"), delay)
+	return refusal(refuse.New(refuse.KindBusy, refuse.NotRun, message, "retry later, or ask an operator to change allowedRegions"), placementDelay())
 }
 
 // versionMark remembers the newest configuration version that was logged.
--- a/proxy/regions_test.go
+++ b/proxy/regions_test.go
@@ -149,3 +149,36 @@
 		test.Eq(t, 1, a.takeArrivals("far"))
 	}
 }
+
+// TestEvacuatedPool guards against a request in flight that an evacuation ends, against a
+// send to the evacuated domain, and against a refusal that says something else.
+func TestEvacuatedPool(t *testing.T) {
+	a, _ := newRegions(t)
+	a.restrict(2, nil, nil)
+	a.instances[1].Domain = "e"
+	a.list(a.instances[1])
+	a.announce("far", "Delay", "200ms")
+	running := make(chan int)
+	go func() { running <- a.post(t, nil).StatusCode }()
+	for a.balancer.Evacuation().InFlight["e"] == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	a.balancer.SetEvacuated(map[model.Domain]bool{"e": true})
+	resp := a.post(t, nil)
+	checkRefused(t, resp)
+	body, err := io.ReadAll(resp.Body)
+	must.NoError(t, err)
+	test.StrContains(t, string(body), "evacuated")
+	test.Eq(t, 200, <-running)
+	a.list(a.instances...)
+	for range 20 {
+		test.Eq(t, 200, a.post(t, nil).StatusCode)
+	}
+	test.Eq(t, 1, a.takeArrivals("far"))
+	a.balancer.HoldRequests(time.Now().Add(time.Minute))
+	checkRefused(t, a.post(t, nil))
+	a.balancer.HoldRequests(time.Time{})
+	a.balancer.SetEvacuated(nil)
+	a.list(a.instances[1])
+	test.Eq(t, 200, a.post(t, nil).StatusCode)
+}
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -112,7 +112,7 @@
 	criteria := place.Request{Pool: d.pool, UsualSeconds: d.seconds, Bytes: d.bytes, Repeatable: mayRepeat, Urgent: d.urgent(), Tried: d.tried, Regions: d.regions}
 	t, ok := d.proxy.deps.Balancer.Choose(time.Now(), criteria, rand.IntN)
 	if !ok {
-		if d.fallback != nil || d.mayHaveRun {
+		if d.fallback != nil || d.mayHaveRun || d.inFlight > 0 {
 			return d.finish()
 		}
 		return d.noTargetRefusal(&criteria)
@@ -129,8 +129,14 @@
 
 // noTargetRefusal returns the refusal of a request for which no target was found.
 func (d *dispatch) noTargetRefusal(criteria *place.Request) *response {
-	if d.proxy.deps.Balancer.ExcludedByRegions(criteria) {
+	switch d.proxy.deps.Balancer.Exclusion(time.Now(), criteria) {
+	case place.ExcludedByRegions:
 		return d.regionsRefusal()
+	case place.ExcludedByEvacuation:
+		d.proxy.metrics.evacuationRefusals.Inc(1)
+		return refusal(refuse.New(refuse.KindBusy, refuse.NotRun, "all targets that may serve the request are in evacuated failure domains", "retry later"), placementDelay())
+	case place.ExcludedByOutdatedList:
+		return refusal(refuse.New(refuse.KindStale, refuse.NotRun, "this daemon may not know all evacuated failure domains", "retry, which may reach another daemon"), shortRetryDelay)
 	}
 	return refusal(refuse.New(refuse.KindBusy, refuse.NotRun, "no target of the pool takes requests", "retry later"), d.returnDelay())
 }
