entry, platform: evacuated failure domains

Where the settings name the contract places in timers.contracts (optional), a host reads the kind evacuations as a third relayed list. It is not ready and sends nothing before it knows the list. Elsewhere no such list is read. timers.bounds.evacuate (optional, 5 s) is the bound.

A host that was suspended for longer than about 2 s chooses no target for 0.5 s, until its neighbours' messages have brought the newest list: its own may be older than the bound although the host can be reached. A host that only lost contact keeps its list.

Evidence: the tests can't be compiled before.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -34,6 +34,10 @@
 	// targetWait is how long the store may hold the watch of the targets: less than
 	// the 20 s for which the store keeps its history.
 	targetWait = 12 * time.Second
+	// evacuationWait is how long the store may hold the watch of the evacuations by the
+	// host that reads the store. Each answer raises the version of the list, although
+	// nothing changed, so that a watch which stays behind is a silent one.
+	evacuationWait = 1500 * time.Millisecond
 	// answerWait is the timeout of a call to the store, in addition to the time for
 	// which the store may hold it.
 	answerWait = time.Second
@@ -73,20 +77,22 @@
 	services *kernel.Kernel
 	meter    *meter.Meter
 
-	holder     *conf.Holder
-	balancer   *place.Balancer
-	config     *watch.ConfigFollower
-	targets    *watch.Targets
-	hosts      *watch.Hosts
-	limits     *limit.Set
-	pauses     *limit.PauseGuard
-	node       *mesh.Node
-	exchange   *exch.Client
-	proxy      *proxy.Proxy
-	callers    *serve.NetHTTP
-	stopping   atomic.Bool
-	wasReady   atomic.Bool
-	shareKnown atomic.Bool // the list of daemons was read and the share of the limits computed
+	holder   *conf.Holder
+	balancer *place.Balancer
+	config   *watch.ConfigFollower
+	targets  *watch.Targets
+	hosts    *watch.Hosts
+	// evacuations is nil if the settings name no bound for evacuations.
+	evacuations *watch.Evacuations
+	limits      *limit.Set
+	pauses      *limit.PauseGuard
+	node        *mesh.Node
+	exchange    *exch.Client
+	proxy       *proxy.Proxy
+	callers     *serve.NetHTTP
+	stopping    atomic.Bool
+	wasReady    atomic.Bool
+	shareKnown  atomic.Bool // the list of daemons was read and the share of the limits computed
 }
 
 // Option sets an optional property of an Entry.
@@ -112,17 +118,25 @@
 // build creates the components and connects them.
 func (e *Entry) build() {
 	s, names := e.settings, e.adapter.ObjectNames()
-	e.balancer = place.NewBalancer(place.Location{Region: s.Region, Domain: s.Domain}, place.WithDemandReport(func(id model.TargetID, urgent bool) {
-		reporter{e.node}.reportDemand(id, urgent)
-	}))
+	options := []place.Option{place.WithDemandReport(func(id model.TargetID, urgent bool) { reporter{e.node}.reportDemand(id, urgent) })}
+	if s.EvacuationBound > 0 {
+		options = append(options, place.WithEvacuations())
+	}
+	e.balancer = place.NewBalancer(place.Location{Region: s.Region, Domain: s.Domain}, options...)
 	e.targets = watch.NewTargets(e.client(targetWait), names.Targets, e.adapter, func(set watch.TargetSet) { e.balancer.Update(time.Now(), set) },
 		func() time.Duration { return e.config.Age() }, func() bool { return e.config.StoreAnswers() }, watch.WithLog(e.log), watch.WithMeter(e.meter.Scope()))
-	e.config = watch.NewConfigFollower(e.client(configWait), names.Config, names.ConfigName, e.adapter, e.holder, e.targets, watch.WithLog(e.log), watch.WithMeter(e.meter.Scope()))
+	observers := watch.Observers{e.targets}
+	if s.EvacuationBound > 0 {
+		e.evacuations = watch.NewEvacuations(e.client(evacuationWait), names.Evacuations, e.adapter, e.balancer.SetEvacuated,
+			func() time.Duration { return e.config.Age() }, func() bool { return e.config.StoreAnswers() }, watch.WithLog(e.log), watch.WithMeter(e.meter.Scope()))
+		observers = append(observers, e.evacuations)
+	}
+	e.config = watch.NewConfigFollower(e.client(configWait), names.Config, names.ConfigName, e.adapter, e.holder, observers, watch.WithLog(e.log), watch.WithMeter(e.meter.Scope()))
 	e.hosts = watch.NewHosts(e.client(0), s.meshHost(), watch.WithLog(e.log), watch.WithMeter(e.meter.Scope()))
 	e.node = mesh.NewNode(s.meshHost(), clock.New(clock.SinceBoot), e.applyReport)
 	e.limits = limit.NewSet(time.Now(), limit.Allowance{Ratio: s.RetryRatio, Reserve: s.RetryReserve},
 		limit.Tolerance{Window: s.LimitWindow, Share: s.LimitOvershoot, Slack: s.LimitSlack}, reporter{e.node})
-	e.pauses = limit.NewPauseGuard(clock.SinceBoot, e.limitAfterPause)
+	e.pauses = limit.NewPauseGuard(clock.SinceBoot, e.afterPause)
 	e.exchange = exch.New(exch.WithHeaders(e.adapter.Headers()), exch.WithConnectTimeout(connectTimeout), exch.WithIdleTimeout(idleTimeout),
 		exch.WithMaxBuffered(maxAnswerBytes), exch.WithMaxConnections(maxTargetConnections))
 	e.proxy = proxy.New(proxy.Dependencies{
@@ -151,6 +165,9 @@
 	pool := wire.NewPool()
 	peers := wire.NewServer(wire.WithLog(e.log))
 	relayedLists := &mesh.RelayedLists{Clock: clock.SinceBoot, All: []mesh.List{e.config, e.targets}}
+	if e.evacuations != nil {
+		relayedLists.All = append(relayedLists.All, e.evacuations)
+	}
 	mesh.RegisterHandler(peers, e.node, relayedLists)
 	e.callers = &serve.NetHTTP{Name: "callers", Address: e.settings.CallerAddress, Log: e.log, Server: caller.New(e.proxy, caller.Limits{
 		HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
@@ -171,6 +188,12 @@
 		func() error { return kernel.Provide(e.services, "callers", e.callers) },
 		func() error { return kernel.Provide(e.services, "ready", e.readinessServer()) },
 	}
+	if e.evacuations != nil {
+		steps = append(steps, func() error { return kernel.Provide(e.services, "evacuations", e.evacuations) },
+			func() error {
+				return kernel.Provide(e.services, "evacuation progress", serviceFunc(e.followEvacuations))
+			})
+	}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return err
@@ -190,7 +213,7 @@
 func (e *Entry) Run(ctx context.Context) error {
 	e.log.Info().Str("region", string(e.settings.Region)).Str("domain", string(e.settings.Domain)).
 		Str("callers", e.settings.CallerAddress).Str("peers", e.settings.PeerAddress).Str("store", e.settings.StoreAddress).
-		Dur("key_life", e.settings.KeyRevocationLimit).Msg("entry started")
+		Dur("key_life", e.settings.KeyRevocationLimit).Dur("evacuate", e.settings.EvacuationBound).Msg("entry started")
 	// The services outlive ctx: they end only after the planned stop.
 	base, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -39,6 +39,11 @@
 	LimitWindow    time.Duration // in which requests are counted against customers' limits
 	LimitOvershoot float64       // share of a limit by which it may be exceeded
 	LimitSlack     float64       // requests by which a limit may be exceeded in addition to LimitOvershoot
+
+	// EvacuationBound is the time from the acknowledgement of an evacuation after which no
+	// request may reach the failure domain; 0: there are no evacuations, and no list of them
+	// is read.
+	EvacuationBound time.Duration
 }
 
 // Defaults of the limits on one connection of a caller.
@@ -67,6 +72,9 @@
 	if s.KeyRevocationLimit <= 0 || s.Grace <= 0 {
 		return fault.Invalid("bounds", "the lifetime of withdrawn keys or the grace period of a planned stop is not positive", "set both to more than 0")
 	}
+	if s.EvacuationBound < 0 {
+		return fault.Invalid("bounds", "the time for an evacuation is negative", "set it to more than 0, or leave it out")
+	}
 	return s.checkLimits()
 }
 
@@ -89,12 +97,15 @@
 	Config     store.Kind // kind of the configuration
 	ConfigName string     // name of the object that holds the newest configuration
 	Targets    store.Kind // kind of the targets' entries
+
+	Evacuations store.Kind // kind of the evacuations of failure domains
 }
 
 // Adapter defines the names and formats of a platform.
 type Adapter interface {
 	watch.ConfigDecoder
 	watch.TargetDecoder
+	watch.EvacuationDecoder
 	Dialect() store.Dialect
 	ObjectNames() ObjectNames
 	Protocol() proxy.Protocol
--- a/entry/share.go
+++ b/entry/share.go
@@ -149,6 +149,12 @@
 	e.limits.Restart(now, share)
 }
 
+// afterPause is called when this host was paused.
+func (e *Entry) afterPause() {
+	e.holdAfterPause(time.Now())
+	e.limitAfterPause()
+}
+
 // setShare sets the share of the limits that this daemon may use, and the share of hosts
 // that started recently.
 func (e *Entry) setShare(share, newShare float64) {
