model, conf, plan: evacuated failure domains in the daemon's configuration

An edit sets and removes evacuated domains. Leaving targets get no health probes any more, since nothing may be sent to an evacuated domain.

The list is a chunk of its own.

Evidence: the tests can't be compiled before. If the marks are written into the shared chunk (trial), TestEvacuated fails.

--- a/cmds/plan.go
+++ b/cmds/plan.go
@@ -23,8 +23,10 @@
 it would make, one per line: + added, - removed, ~ modified. Nothing changes
 until the plan is confirmed. --out saves the plan for "confirm".
 
-The edit has the fields set (customers, routes, pools: added or replaced by id),
-grant and withdraw (keys), and remove (ids).`,
+The edit has the fields set (customers, routes, pools: added or replaced by id;
+evacuated: failure domains whose targets get no requests), grant and withdraw
+(keys), and remove (ids, and evacuated domains to be put back into service). While
+domains are evacuated, the slots that remain in each pool are shown.`,
 		Args: cobra.ExactArgs(1),
 	}
 	address := adminFlag(c)
@@ -50,6 +52,9 @@
 	for _, c := range p.Changes {
 		_, _ = fmt.Fprintln(w, c)
 	}
+	for _, s := range p.Slots {
+		_, _ = fmt.Fprintln(w, s)
+	}
 	for _, s := range p.Warnings {
 		_, _ = fmt.Fprintln(w, "warning:", s)
 	}
--- a/conf/chunk.go
+++ b/conf/chunk.go
@@ -20,11 +20,12 @@
 	groupCustomer group = "customer"
 	groupRoute    group = "route"
 	groupPool     group = "pool"
+	groupDomain   group = "domain" // evacuated failure domains; the chunk is absent if there are none
 )
 
 // chunksPerGroup is the number of chunks of each group. If a number changes, most
 // entries move to another chunk, which is correct but rewrites all chunks once.
-var chunksPerGroup = map[group]int{groupCustomer: 64, groupRoute: 8, groupPool: 8}
+var chunksPerGroup = map[group]int{groupCustomer: 64, groupRoute: 8, groupPool: 8, groupDomain: 1}
 
 // decodedChunk is the decoded form of one chunk. Exactly one of the lists is used,
 // except in the only chunk of a snapshot built by NewSnapshot. A decoded chunk is immutable
@@ -33,6 +34,7 @@
 	Customers []model.Customer `cbor:"1,keyasint,omitempty"`
 	Routes    []model.Route    `cbor:"2,keyasint,omitempty"`
 	Pools     []model.Pool     `cbor:"3,keyasint,omitempty"`
+	Evacuated []model.Domain   `cbor:"4,keyasint,omitempty"`
 }
 
 // groupOf returns the group of a chunk name and whether the name is valid.
@@ -102,6 +104,10 @@
 		ch := chunkFor(groupPool, string(p.ID))
 		ch.Pools = append(ch.Pools, p)
 	}
+	for _, d := range in.Evacuated {
+		ch := chunkFor(groupDomain, string(d))
+		ch.Evacuated = append(ch.Evacuated, d)
+	}
 	for _, ch := range chunks {
 		ch.sort()
 	}
@@ -112,6 +118,7 @@
 	slices.SortFunc(ch.Customers, func(a, b model.Customer) int { return cmp.Compare(a.ID, b.ID) })
 	slices.SortFunc(ch.Routes, func(a, b model.Route) int { return cmp.Compare(a.ID, b.ID) })
 	slices.SortFunc(ch.Pools, func(a, b model.Pool) int { return cmp.Compare(a.ID, b.ID) })
+	slices.Sort(ch.Evacuated)
 }
 
 // encodeChunk encodes a chunk. The name is used in the error for a chunk larger than
--- a/conf/conf_test.go
+++ b/conf/conf_test.go
@@ -127,6 +127,29 @@
 	must.True(t, fault.Is(err, fault.KindInvalid))
 }
 
+// TestEvacuated guards against a target of an evacuated domain that is shown as in use, and
+// against one that stays out of use when the domain is in service again, since the two
+// versions share the pool's chunk.
+func TestEvacuated(t *testing.T) {
+	in := sample(1)
+	in.Pools[0].Targets = []model.Target{{ID: "a", Address: "127.0.0.1:1", Domain: "north-a", Slots: 1}, {ID: "b", Address: "127.0.0.1:2", Domain: "north-b", Slots: 1}}
+	var base *Snapshot
+	for n, evacuated := range [][]model.Domain{nil, {"north-x", "north-a"}, nil} {
+		in.Evacuated = evacuated
+		root, chunks, err := Build(in, model.ConfigVersion(n+1), model.DigestOf(nil), "one")
+		must.NoError(t, err)
+		base, err = Assemble(root, func(d model.Digest) ([]byte, error) { return chunks[d], nil }, WithBase(base))
+		must.NoError(t, err)
+		p, ok := base.Pool("ledger")
+		must.True(t, ok)
+		must.Eq(t, evacuated != nil, p.Targets[0].Leaving)
+		must.False(t, p.Targets[1].Leaving)
+		configured := base.Intent()
+		must.Len(t, len(evacuated), configured.Evacuated)
+		must.False(t, configured.Pools[1].Targets[0].Leaving)
+	}
+}
+
 // TestRoute guards against a prefix that matches within a path segment, a shorter
 // prefix that wins, and allocations in the lookup, which runs for each request.
 func TestRoute(t *testing.T) {
--- a/conf/snapshot.go
+++ b/conf/snapshot.go
@@ -71,7 +71,7 @@
 // NewSnapshot builds a snapshot from an intent that is not stored in chunks. The caller must
 // have checked the intent.
 func NewSnapshot(version model.ConfigVersion, in *model.Intent) *Snapshot {
-	ch := &decodedChunk{Customers: in.Customers, Routes: in.Routes, Pools: in.Pools}
+	ch := &decodedChunk{Customers: in.Customers, Routes: in.Routes, Pools: in.Pools, Evacuated: in.Evacuated}
 	s := &Snapshot{root: Root{Version: version}, decoded: map[model.Digest]*decodedChunk{"": ch}}
 	s.index()
 	return s
@@ -102,6 +102,7 @@
 	s.pools = make(map[model.PoolID]*model.Pool)
 	s.routes = make(map[routeKey]*model.Route)
 	s.minRanks = make(map[model.PoolID]int)
+	evacuated := s.evacuated()
 	for _, ch := range s.decoded {
 		for i := range ch.Customers {
 			c := &ch.Customers[i]
@@ -111,7 +112,7 @@
 			}
 		}
 		for i := range ch.Pools {
-			s.pools[ch.Pools[i].ID] = &ch.Pools[i]
+			s.pools[ch.Pools[i].ID] = withoutDomains(&ch.Pools[i], evacuated)
 		}
 		for i := range ch.Routes {
 			r := &ch.Routes[i]
@@ -125,6 +126,32 @@
 	}
 }
 
+// evacuated returns the evacuated failure domains, sorted.
+func (s *Snapshot) evacuated() []model.Domain {
+	var list []model.Domain
+	for _, ch := range s.decoded {
+		list = append(list, ch.Evacuated...)
+	}
+	slices.Sort(list)
+	return list
+}
+
+// withoutDomains returns the pool with the targets of the evacuated domains marked as
+// leaving, or the pool itself if it has none. Chunks are shared by snapshots and stay as
+// they are.
+func withoutDomains(p *model.Pool, evacuated []model.Domain) *model.Pool {
+	isEvacuated := func(t model.Target) bool { return slices.Contains(evacuated, t.Domain) }
+	if !slices.ContainsFunc(p.Targets, isEvacuated) {
+		return p
+	}
+	out := *p
+	out.Targets = slices.Clone(p.Targets)
+	for i := range out.Targets {
+		out.Targets[i].Leaving = out.Targets[i].Leaving || isEvacuated(out.Targets[i])
+	}
+	return &out
+}
+
 // rank records the rank of a route to the pool if it is the lowest so far.
 func (s *Snapshot) rank(id model.PoolID, rank int) {
 	if lowest, ok := s.minRanks[id]; !ok || rank < lowest {
@@ -146,15 +173,16 @@
 }
 
 // Pools returns all pools in the order of their ids. The list is a copy; the pools
-// are shared with the snapshot.
+// are shared with the snapshot. Targets of evacuated failure domains are marked as leaving.
 func (s *Snapshot) Pools() []*model.Pool {
 	list := slices.Collect(maps.Values(s.pools))
 	slices.SortFunc(list, func(a, b *model.Pool) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
 
-// Intent returns the configuration as one intent, in the order of the ids. The
-// lists are copies; the data that the entries refer to is shared with the snapshot.
+// Intent returns the configuration as one intent, in the order of the ids, with the targets
+// as the operator configured them. The lists are copies; the data that the entries refer to
+// is shared with the snapshot.
 func (s *Snapshot) Intent() *model.Intent {
 	in := new(model.Intent)
 	for _, ch := range s.decoded {
@@ -162,6 +190,7 @@
 		in.Routes = append(in.Routes, ch.Routes...)
 		in.Pools = append(in.Pools, ch.Pools...)
 	}
+	in.Evacuated = s.evacuated()
 	slices.SortFunc(in.Customers, func(a, b model.Customer) int { return cmp.Compare(a.ID, b.ID) })
 	slices.SortFunc(in.Routes, func(a, b model.Route) int { return cmp.Compare(a.ID, b.ID) })
 	slices.SortFunc(in.Pools, func(a, b model.Pool) int { return cmp.Compare(a.ID, b.ID) })
@@ -180,7 +209,7 @@
 	return k.customer, k.key, ok
 }
 
-// Pool returns the pool with the id.
+// Pool returns the pool with the id, as Pools does.
 func (s *Snapshot) Pool(id model.PoolID) (*model.Pool, bool) {
 	p, ok := s.pools[id]
 	return p, ok
--- a/eject/probe.go
+++ b/eject/probe.go
@@ -33,7 +33,7 @@
 	return kernel.Every(ctx, reportInterval, p.probeAll)
 }
 
-// probeAll probes all ejected and draining targets concurrently and waits for the
+// probeAll probes all ejected and draining targets that don't leave concurrently and waits for the
 // results.
 func (p *Prober) probeAll(ctx context.Context) {
 	var g errgroup.Group
@@ -44,6 +44,9 @@
 		}
 		for i := range pool.Targets {
 			t := &pool.Targets[i]
+			if t.Leaving {
+				continue // it gets no requests, and nothing else is sent to an evacuated domain
+			}
 			if v, found := p.detector.Verdict(id, t.ID); !found || v.Finding == model.FindingSuspect {
 				continue
 			}
--- a/model/check.go
+++ b/model/check.go
@@ -90,7 +90,24 @@
 	if err != nil {
 		return err
 	}
-	return in.checkRoutes(customers, pools)
+	if err := in.checkRoutes(customers, pools); err != nil {
+		return err
+	}
+	return in.checkEvacuated()
+}
+
+func (in *Intent) checkEvacuated() error {
+	seen := make(map[Domain]bool, len(in.Evacuated))
+	for _, d := range in.Evacuated {
+		if d == "" {
+			return fault.Invalid("evacuated failure domain", "is empty", "name the domain")
+		}
+		if seen[d] {
+			return duplicate("evacuated failure domain", string(d))
+		}
+		seen[d] = true
+	}
+	return nil
 }
 
 func (in *Intent) checkCustomers() (map[CustomerID]bool, error) {
--- a/model/intent.go
+++ b/model/intent.go
@@ -161,4 +161,6 @@
 	Customers []Customer `json:"customers"`
 	Routes    []Route    `json:"routes"`
 	Pools     []Pool     `json:"pools"`
+	// Evacuated are the failure domains whose targets get no requests.
+	Evacuated []Domain `json:"evacuated,omitempty"`
 }
--- a/plan/diff.go
+++ b/plan/diff.go
@@ -42,7 +42,7 @@
 }
 
 // Diff returns the changes that turn one intent into the other, in the order
-// customers, keys, routes, pools, targets.
+// customers, keys, routes, pools, targets, evacuated failure domains.
 func Diff(from, to *model.Intent) []Change {
 	var list []Change
 	list = append(list, diffItems("customer", from.Customers, to.Customers, customerID, customerView)...)
@@ -50,6 +50,7 @@
 	list = append(list, diffItems("route", from.Routes, to.Routes, routeID, func(r model.Route) any { return r })...)
 	list = append(list, diffItems("pool", from.Pools, to.Pools, poolID, poolView)...)
 	list = append(list, diffItems("target", targetsOf(from), targetsOf(to), targetID, func(t model.Target) any { return t })...)
+	list = append(list, diffItems("evacuated failure domain", from.Evacuated, to.Evacuated, domainID, func(model.Domain) any { return struct{}{} })...)
 	return list
 }
 
@@ -146,7 +147,8 @@
 
 // Warnings returns the risks of the new intent that an operator should consider
 // before confirming: requests that may run twice, routes that become open to
-// callers without a key, and pools without targets.
+// callers without a key, pools without targets, and evacuations that leave a pool without
+// slots or have no effect.
 func Warnings(from, to *model.Intent) []string {
 	var list []string
 	for _, r := range to.Routes {
@@ -162,7 +164,7 @@
 			list = append(list, fmt.Sprintf("pool %s: has no target, its routes refuse every request; remedy: add a target", p.ID))
 		}
 	}
-	return list
+	return append(list, evacuationWarnings(to)...)
 }
 
 func wasOpen(in *model.Intent, id model.RouteID) bool {
--- a/plan/edit.go
+++ b/plan/edit.go
@@ -26,6 +26,7 @@
 	Routes    []model.RouteID    `json:"routes,omitempty"`
 	Pools     []model.PoolID     `json:"pools,omitempty"`
 	Targets   []model.TargetID   `json:"targets,omitempty"`
+	Evacuated []model.Domain     `json:"evacuated,omitempty"` // put back into service
 }
 
 // Edit is a configuration change that an operator requests. An item of Set whose id
@@ -56,6 +57,7 @@
 		Customers: upsert(base.Customers, e.Set.Customers, customerID),
 		Routes:    upsert(base.Routes, e.Set.Routes, routeID),
 		Pools:     upsert(base.Pools, e.Set.Pools, poolID),
+		Evacuated: upsert(base.Evacuated, e.Set.Evacuated, domainID),
 	}
 	steps := []func(*model.Intent) error{e.grant, e.revoke, e.removeItems, e.removeTargets}
 	for _, step := range steps {
@@ -74,6 +76,7 @@
 func routeID(r model.Route) model.RouteID          { return r.ID }
 func poolID(p model.Pool) model.PoolID             { return p.ID }
 func targetID(t model.Target) model.TargetID       { return t.ID }
+func domainID(d model.Domain) model.Domain         { return d }
 func keyID(k model.Key) model.KeyID                { return k.ID }
 
 // upsert returns a copy of base in which each item of set is added, or replaces
@@ -144,7 +147,10 @@
 	if in.Routes, err = remove(in.Routes, e.Remove.Routes, routeID, "route"); err != nil {
 		return err
 	}
-	in.Pools, err = remove(in.Pools, e.Remove.Pools, poolID, "pool")
+	if in.Pools, err = remove(in.Pools, e.Remove.Pools, poolID, "pool"); err != nil {
+		return err
+	}
+	in.Evacuated, err = remove(in.Evacuated, e.Remove.Evacuated, domainID, "evacuated failure domain")
 	return err
 }
 
@@ -169,4 +175,5 @@
 	slices.SortFunc(in.Customers, func(a, b model.Customer) int { return cmp.Compare(a.ID, b.ID) })
 	slices.SortFunc(in.Routes, func(a, b model.Route) int { return cmp.Compare(a.ID, b.ID) })
 	slices.SortFunc(in.Pools, func(a, b model.Pool) int { return cmp.Compare(a.ID, b.ID) })
+	slices.Sort(in.Evacuated)
 }
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -20,6 +20,7 @@
 	Edit     Edit                `json:"edit"`
 	Changes  []Change            `json:"changes"`
 	Warnings []string            `json:"warnings,omitempty"`
+	Slots    []PoolSlots         `json:"slots,omitempty"` // that remain in each pool, if the planned configuration evacuates failure domains
 }
 
 // Outcome is the result of a confirmation that succeeded.
@@ -116,6 +117,7 @@
 		Edit:     *e,
 		Changes:  Diff(base.intent, next),
 		Warnings: Warnings(base.intent, next),
+		Slots:    RemainingSlots(next),
 	}, nil
 }
 
--- a/plan/plan_test.go
+++ b/plan/plan_test.go
@@ -48,6 +48,18 @@
 	golden.Compare(t, "testdata/diff.golden", got)
 }
 
+// TestRemainingSlots guards against slots that count as remaining although their target
+// leaves or is in an evacuated domain.
+func TestRemainingSlots(t *testing.T) {
+	in := baseIntent()
+	must.SliceEmpty(t, RemainingSlots(in))
+	in.Evacuated = []model.Domain{"north-a"}
+	must.Eq(t, []PoolSlots{{Pool: "ledger", Remain: 6, All: 12}}, RemainingSlots(in))
+	in.Pools[0].Targets[1].Leaving = true
+	must.Eq(t, []PoolSlots{{Pool: "ledger", Remain: 0, All: 12}}, RemainingSlots(in))
+	must.Len(t, 1, Warnings(in, in))
+}
+
 // TestApplyRefusesMissing guards against edits that refer to missing items, or
 // remove an item that is still in use, and are applied in part instead of
 // refused as a whole.
