--- a/entry/evacuation_test.go
+++ b/entry/evacuation_test.go
@@ -8,6 +8,7 @@
 
 	"rhubarbdrift.example/model"
 	"rhubarbdrift.example/place"
+	"rhubarbdrift.example/watch"
 )
 
 // TestEvacuationProgress guards against a change of an evacuation that an operator can't
@@ -34,3 +35,20 @@
 	test.Eq(t, []evacuationLine{{event: eventListCurrent}, {eventDrained, "a", 0, 3 * time.Second}}, update(0, 0, "a", "b"))
 	test.Eq(t, []evacuationLine{{eventReturned, "a", 0, 4 * time.Second}}, update(0, 0, "b"))
 }
+
+// TestHoldAfterPause guards against a host that was suspended for the whole bound of an
+// evacuation and sends requests by its old list as soon as it runs again, and against one
+// that refuses requests for good, or where there are no evacuations.
+func TestHoldAfterPause(t *testing.T) {
+	now := time.Unix(0, 0)
+	e := &Entry{settings: &Settings{EvacuationBound: 5 * time.Second}, balancer: place.NewBalancer(place.Location{})}
+	e.config = watch.NewConfigFollower(nil, "config", "main", nil, nil, nil) // never had an answer
+	exclusion := func() place.Exclusion { return e.balancer.Exclusion(now, &place.Request{Pool: "p"}) }
+	e.holdAfterPause(now)
+	test.Eq(t, place.NotExcluded, exclusion())
+	e.evacuations = new(watch.Evacuations)
+	e.holdAfterPause(now)
+	test.Eq(t, place.ExcludedByOutdatedList, exclusion())
+	now = now.Add(holdTime)
+	test.Eq(t, place.NotExcluded, exclusion())
+}
--- a/watch/config_test.go
+++ b/watch/config_test.go
@@ -15,13 +15,11 @@
 
 // conflictDecoder decodes configurations in which a route and a customer have no region
 // in common.
-type conflictDecoder struct{ configDecoder }
+type conflictDecoder struct{}
 
-func (d conflictDecoder) Config(value []byte) (model.ConfigVersion, *model.Intent, error) {
-	version, in, err := d.configDecoder.Config(value)
-	in.Routes = []model.Route{{ID: "a", Regions: []model.Region{"north"}}}
-	in.Customers = []model.Customer{{ID: "b", Regions: []model.Region{"south"}}}
-	return version, in, err
+func (conflictDecoder) Config(value []byte) (model.ConfigVersion, *model.Intent, error) {
+	return model.ConfigVersion(len(value)), &model.Intent{Routes: []model.Route{{ID: "a", Regions: []model.Region{"north"}}},
+		Customers: []model.Customer{{ID: "b", Regions: []model.Region{"south"}}}}, nil
 }
 
 // TestConflictLogged guards against an empty intersection of allowed regions, which may be
--- a/watch/evacuations_test.go
+++ b/watch/evacuations_test.go
@@ -6,7 +6,7 @@
 	"maps"
 	"slices"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,38 +32,25 @@
 // evacuee is a host that follows the evacuations.
 type evacuee struct {
 	*Evacuations
-	age time.Duration // time since the store's last answer to any host
-
-	mu       sync.Mutex
-	received []string // each list that was passed on, as names with spaces between them
+	age     time.Duration // time since the store's last answer to any host
+	current atomic.Value  // the list that was passed on last, as names with spaces between them
 }
 
 func newEvacuee(t *testing.T, s Watcher) *evacuee {
 	t.Helper()
 	e := &evacuee{}
+	e.current.Store("unknown")
 	start := time.Now()
 	e.Evacuations = NewEvacuations(s, "evacuations", domainDecoder{}, func(domains map[model.Domain]bool) {
 		var names []string
 		for _, d := range slices.Sorted(maps.Keys(domains)) {
 			names = append(names, string(d))
 		}
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		e.received = append(e.received, strings.Join(names, " "))
+		e.current.Store(strings.Join(names, " "))
 	}, func() time.Duration { return e.age }, func() bool { return true }, WithClock(func() time.Duration { return time.Since(start) + time.Hour }))
 	return e
 }
 
-// current returns the list that was passed on last, and "unknown" if none was.
-func (e *evacuee) current() string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if len(e.received) == 0 {
-		return "unknown"
-	}
-	return e.received[len(e.received)-1]
-}
-
 // start follows the list until the test ends.
 func (e *evacuee) start(t *testing.T) {
 	t.Helper()
@@ -88,60 +75,56 @@
 		s := newScriptedStore()
 		e := newEvacuee(t, s)
 		e.SetFirst(true)
-		test.Eq(t, "unknown", e.current())
+		test.Eq(t, "unknown", e.current.Load())
 		e.start(t)
-		test.Eq(t, "", e.current())
+		test.Eq(t, "", e.current.Load())
 		send := func(events ...store.Event) {
 			s.events <- events
 			time.Sleep(time.Second)
 		}
 		send(store.Event{Object: evacuationOf("a")}, store.Event{Object: store.Object{Name: "x", Value: []byte("[]")}}, store.Event{Object: evacuationOf("b")})
-		test.Eq(t, "a b", e.current())
+		test.Eq(t, "a b", e.current.Load())
 		send(store.Event{Object: store.Object{Name: "y", Problem: "nested too deeply"}}, deleteEvent("a"))
-		test.Eq(t, "b", e.current())
+		test.Eq(t, "b", e.current.Load())
 		send(store.Event{Object: evacuationOf("x")}, deleteEvent("b"))
-		test.Eq(t, "x", e.current())
+		test.Eq(t, "x", e.current.Load())
 		send(deleteEvent("x"))
-		test.Eq(t, "", e.current())
+		test.Eq(t, "", e.current.Load())
 	})
 }
 
 // TestEvacuationStoreLost guards against an evacuation that was acknowledged and read by
-// one host, and does not reach the others since the store is gone; and against a host that
-// forgets an evacuation while it has contact to nothing.
+// one host, and does not reach the others since the store is gone; against a host that
+// forgets an evacuation while it has contact to nothing; and against a restarted host that
+// learns of it from nobody.
 func TestEvacuationStoreLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		reader, other, restarted := newEvacuee(t, newScriptedStore()), newEvacuee(t, newScriptedStore()), newEvacuee(t, newScriptedStore())
 		reader.applyAnswer(5, reader.sinceBoot(), func() { reader.replaceList(nil, 5) })
 		reader.relayTo(other)
-		test.Eq(t, "", other.current())
+		test.Eq(t, "", other.current.Load())
 		reader.applyAnswer(6, reader.sinceBoot(), func() { reader.applyEvents([]store.Event{{Object: evacuationOf("a")}}, 6) })
 		reader.recordFailure(errors.New("refused"))
 		reader.age = maxRelayAge
 		reader.relayTo(other)
-		test.Eq(t, "a", other.current())
+		test.Eq(t, "a", other.current.Load())
 
 		// A host that starts now knows nothing before a neighbour tells it.
-		test.Eq(t, "unknown", restarted.current())
+		test.Eq(t, "unknown", restarted.current.Load())
 		other.relayTo(restarted)
-		test.Eq(t, "a", restarted.current())
+		test.Eq(t, "a", restarted.current.Load())
 		time.Sleep(time.Minute)
 		other.age, restarted.age = time.Minute, time.Minute
 		other.relayTo(restarted)
-		test.Eq(t, "a", other.current())
-		test.Eq(t, "a", restarted.current())
-	})
-}
+		test.Eq(t, "a", other.current.Load())
+		test.Eq(t, "a", restarted.current.Load())
 
-// TestEvacuationRestart guards against a restarted host that doesn't read the list when no
-// neighbour relays it.
-func TestEvacuationRestart(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+		// Without a neighbour it reads the store.
 		s := newScriptedStore()
 		s.list = []store.Object{evacuationOf("a")}
-		e := newEvacuee(t, s)
-		e.start(t)
-		test.Eq(t, "a", e.current())
+		alone := newEvacuee(t, s)
+		alone.start(t)
+		test.Eq(t, "a", alone.current.Load())
 	})
 }
 
