--- a/model/check.go
+++ b/model/check.go
@@ -90,7 +90,24 @@
 	if err != nil {
 		return err
 	}
-	return in.checkRoutes(customers, pools)
+	if err := in.checkRoutes(customers, pools); err != nil {
+		return err
+	}
+	return in.checkEvacuated()
+}
+
+func (in *Intent) checkEvacuated() error {
+	seen := make(map[Domain]bool, len(in.Evacuated))
+	for _, d := range in.Evacuated {
+		if d == "" {
+			return fault.Invalid("evacuated failure domain", "is empty", "name the domain")
+		}
+		if seen[d] {
+			return duplicate("evacuated failure domain", string(d))
+		}
+		seen[d] = true
+	}
+	return nil
 }
 
 func (in *Intent) checkCustomers() (map[CustomerID]bool, error) {
@@ -132,6 +149,9 @@
 	if c.Burst < 1 {
 		return fault.Invalid(field("customer", string(c.ID), "burst"), "must be at least 1 request", "set a burst")
 	}
+	if len(c.Regions) > 0 {
+		return regionsUnsupported("customer", string(c.ID))
+	}
 	for _, k := range c.Keys {
 		if k.ID == "" || !k.Digest.Valid() {
 			return fault.Invalid(field("customer", string(c.ID), "keys"),
@@ -271,9 +291,19 @@
 	if r.Deadline < 0 || r.MaxBodyBytes < 0 {
 		return fault.Invalid(field("route", string(r.ID), "deadline or body"), "must not be negative", "remove the field for the default")
 	}
+	if len(r.Regions) > 0 {
+		return regionsUnsupported("route", string(r.ID))
+	}
 	return nil
 }
 
+// regionsUnsupported returns the error for allowed regions in an intent that an operator
+// plans. Package gate doesn't apply them, and a restriction without effect must not be
+// accepted.
+func regionsUnsupported(kind, id string) error {
+	return fault.Invalid(field(kind, id, "regions"), "are not supported by the daemon", "remove the field")
+}
+
 // field returns the name of a field for an error, as "customer depots: rate".
 func field(kind, id, name string) string { return kind + " " + id + ": " + name }
 
--- a/place/choose.go
+++ b/place/choose.go
@@ -66,6 +66,14 @@
 	Urgent bool
 	// Tried lists the targets that must not get the request again.
 	Tried []model.TargetID
+	// Regions are the only regions whose targets may get the request; nil: all. An empty
+	// list that is not nil allows none.
+	Regions []model.Region
+}
+
+// allows reports whether the target is in an allowed region.
+func (r *Request) allows(t *Target) bool {
+	return r.Regions == nil || slices.Contains(r.Regions, t.Region)
 }
 
 // maxLimitedTargets is the number of targets with a limit that are asked for one
@@ -149,9 +157,12 @@
 // eligible returns the targets of the pool that may get the request, those with a limit
 // and those without one. The caller holds b.mu.
 func (b *Balancer) eligible(now time.Time, p *pool, r Request) (limited, unlimited targets) {
+	if !b.evacuation.usable(now) {
+		return targets{}, targets{}
+	}
 	for _, t := range p.targets {
 		switch {
-		case !t.acceptsRequests(now) || slices.Contains(r.Tried, t.ID):
+		case !t.acceptsRequests(now) || !r.allows(t) || b.evacuation.domains[t.Domain] || slices.Contains(r.Tried, t.ID):
 		case t.announced.pacer != nil:
 			limited.add(t, b.location.Region)
 		default:
--- a/watch/config.go
+++ b/watch/config.go
@@ -131,6 +131,10 @@
 	if c.holder.Install(d.snapshot) {
 		c.log.Info().Uint64("version", uint64(d.snapshot.Version())).Int("routes", len(d.intent.Routes)).Int("customers", len(d.intent.Customers)).
 			Uint64("revision", uint64(o.Version)).Dur("age", c.age()).Msg("configuration in force")
+		if none := d.intent.RegionConflicts(); none.Pairs > 0 {
+			c.log.Warn().Uint64("version", uint64(d.snapshot.Version())).Str("route", string(none.Route)).Str("customer", string(none.Customer)).Int("pairs", none.Pairs).
+				Msg("routes and customers without a common allowed region; their requests are refused")
+		}
 	}
 }
 
