exch: responses wait for memory, and connections to all targets have a limit

A response of a known length was read with io.ReadAll, which holds up to twice its size while it grows, and nothing bounded all responses together. An exchange may now have a Room: the length is reserved before it is read, an unknown one step by step. While there is no room the response is not read; at the deadline the exchange ends as broken without evidence against the target. A response above the limit with a known length is refused before it is read.

WithMaxOpen bounds the connections to all targets; idle ones are closed in favour of new ones, and without any an exchange ends as not run.

--- a/exch/client.go
+++ b/exch/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rhubarbdrift.example/fault"
@@ -71,6 +72,10 @@
 // memory: by Do, and for responses with neither a length nor chunks.
 func WithMaxBuffered(n int) Option { return func(c *Client) { c.maxBuffered = n } }
 
+// WithMaxOpen sets the maximum number of connections to all targets together. Idle
+// connections are closed in favour of new ones.
+func WithMaxOpen(n int) Option { return func(c *Client) { c.maxOpen = int64(n) } }
+
 // WithDial replaces the function that opens connections.
 func WithDial(dial DialFunc) Option { return func(c *Client) { c.dial = dial } }
 
@@ -87,6 +92,8 @@
 	idleTimeout          time.Duration
 	nonRepeatableMaxIdle time.Duration
 	maxBuffered          int
+	maxOpen              int64        // 0: no limit
+	open                 atomic.Int64 // connections to all targets
 	dial                 DialFunc
 	headers              Headers
 
@@ -174,6 +181,27 @@
 	return p.open, len(p.idle)
 }
 
+// Open returns the number of connections to all targets.
+func (c *Client) Open() int { return int(c.open.Load()) }
+
+// makeRoom closes idle connections until one may be opened. It returns false if all are in
+// use.
+func (c *Client) makeRoom() bool {
+	if c.maxOpen == 0 || c.open.Load() < c.maxOpen {
+		return true
+	}
+	// The connections that have been idle for longest are closed first.
+	for idle := c.idleTimeout / 2; ; idle /= 2 {
+		c.closeIdle(time.Now().Add(-idle))
+		if c.open.Load() < c.maxOpen || idle == 0 {
+			return c.open.Load() < c.maxOpen
+		}
+		if idle < time.Millisecond {
+			idle = 0
+		}
+	}
+}
+
 // closeIdle closes the connections to all targets that have been idle since cutoff or
 // longer.
 func (c *Client) closeIdle(cutoff time.Time) {
--- a/exch/exchange.go
+++ b/exch/exchange.go
@@ -13,6 +13,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"rhubarbdrift.example/budget"
 	"rhubarbdrift.example/fault"
 	"rhubarbdrift.example/model"
 )
@@ -116,10 +117,8 @@
 		return final
 	}
 	b := resp.BodyStream().(*body)
-	if data := b.x.bufferBody(b); data != nil {
-		resp.SetBodyRaw(data)
-		resp.Header.SetContentLength(len(data))
-	}
+	size := resp.Header.ContentLength()
+	b.x.setBody(resp, b, size)
 	return final
 }
 
@@ -335,27 +334,58 @@
 // readUnframed reads a response that ends when the target closes the connection.
 func (x *exchange) readUnframed(resp *fasthttp.Response) Outcome {
 	x.out.Unframed = true
-	if data := x.bufferBody(&body{x: x}); data != nil {
-		resp.SetBodyRaw(data)
-		resp.Header.SetContentLength(len(data))
-	}
+	x.setBody(resp, &body{x: x}, -1)
 	return x.out
 }
 
-// bufferBody reads a body into memory and ends the exchange. It returns nil on
-// failure.
-func (x *exchange) bufferBody(b *body) []byte {
+// setBody reads a body of a size, which is negative if unknown, into memory and ends the
+// exchange. The body goes to the Room of the exchange if there is one, else to resp.
+func (x *exchange) setBody(resp *fasthttp.Response, b *body, size int) {
+	room, _ := x.ctx.Value(roomKey{}).(*Room)
+	data, ok := x.bufferBody(b, room, size)
+	switch {
+	case !ok:
+		return
+	case room != nil:
+		room.Body = data
+		resp.ResetBody()
+	default:
+		joined := make([]byte, 0, data.Len())
+		for _, part := range data.Parts() {
+			joined = append(joined, part...)
+		}
+		resp.SetBodyRaw(joined)
+	}
+	resp.Header.SetContentLength(int(data.Len()))
+}
+
+// bufferBody reads a body of a size, which is negative if unknown, into memory and ends the
+// exchange. It returns false on failure.
+func (x *exchange) bufferBody(b *body, room *Room, size int) (data budget.Segments, ok bool) {
 	limit := x.client.maxBuffered
 	x.conn.bodyDeadline = x.deadline
-	data, err := io.ReadAll(io.LimitReader(b, int64(limit)+1))
-	if err == nil && len(data) > limit {
+	known := int64(max(size, -1))
+	var err error
+	switch {
+	case size > limit:
+		err = errTooLarge
+	case size >= 0:
+		err = room.reserve(x.ctx, int64(size))
+	}
+	if err == nil {
+		data, err = budget.ReadAll(b, known, int64(limit), func(n int64) error { return room.reserve(x.ctx, n) }, func(time.Time, int) {})
+	}
+	if err == nil && data.Len() > int64(limit) {
+		err = errTooLarge
+	}
+	switch {
+	case errors.Is(err, errTooLarge):
 		x.abort(fault.New(fault.KindLimited, "the response exceeds the "+strconv.Itoa(limit)+" bytes that are read into memory",
 			"let the target send a length or chunks"))
+	case err != nil:
+		x.abort(err)
 	}
-	if x.out.Class != Complete {
-		return nil
-	}
-	return data
+	return data, x.out.Class == Complete
 }
 
 // finishShed ends an exchange whose request the target shed. The connection is kept if
--- a/exch/pool.go
+++ b/exch/pool.go
@@ -55,6 +55,7 @@
 	}
 	if p.open >= limit && len(p.idle) > 0 {
 		_ = p.idle[0].Close() // the new connection takes its place
+		p.client.open.Add(-1)
 		p.idle = append(p.idle[:0], p.idle[1:]...)
 		return nil, nil
 	}
@@ -72,8 +73,16 @@
 	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, p.client.connectTimeout)
 	defer cancel()
+	if !p.client.makeRoom() {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		return nil, fault.New(fault.KindLimited, "this host has no descriptor for a connection to target "+p.address, "send the request to another daemon")
+	}
+	p.client.open.Add(1)
 	nc, err := p.client.dial(ctx, p.address)
 	if err != nil {
+		p.client.open.Add(-1)
 		p.mu.Lock()
 		p.open--
 		p.mu.Unlock()
@@ -100,6 +109,7 @@
 // request at the target.
 func (p *connPool) discard(c *conn) {
 	_ = c.Close()
+	p.client.open.Add(-1)
 	p.mu.Lock()
 	p.open--
 	p.mu.Unlock()
