caller: memory of connections and responses, and a limit on connections

The server took any number of connections: 1,500 callers that sent half of a header or nothing took 1,517 descriptors. Responses were copied into a growing slice and held until the caller had read them.

With an account (WithAccount) each connection reserves its memory, a response is delivered without a copy (Deliver), and each written segment is released. A caller that reads too slowly while memory is short has its connection closed, which shows the response as incomplete. Above Limits.Connections, connections idle for longest are closed first, then unfinished headers older than a second, then the requests of callers without progress; else the new one is closed. Write buffers are pooled, since a connection needs one only while it writes. LimitBody sets a deadline for a body and bounds the system's buffer of it; CutBody ends its reading.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -11,6 +11,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"rhubarbdrift.example/budget"
 )
 
 const (
@@ -41,14 +43,16 @@
 // conn is one connection of a caller. One goroutine reads it, and each request has one
 // that runs the handler.
 type conn struct {
-	server *Server
-	nc     net.Conn
-	reads  *timedReader
-	in     *bufio.Reader
-	out    *bufio.Writer
-	ctx    context.Context // ends with the connection
-	cancel context.CancelFunc
-	woken  chan struct{} // receives when the reading goroutine is to look again
+	server  *Server
+	nc      net.Conn
+	reads   *timedReader
+	in      *bufio.Reader
+	owner   *budget.Owner
+	buffers *budget.Holder  // read buffer and state of the connection
+	noRoom  bool            // the last grow failed because memory is short; used by the reading goroutine
+	ctx     context.Context // ends with the connection
+	cancel  context.CancelFunc
+	woken   chan struct{} // receives when the reading goroutine is to look again
 
 	mu        sync.Mutex
 	queue     []*exchange // requests that have not been answered, in the order of arrival
@@ -61,10 +65,24 @@
 	signalled bool      // wake ended the read
 	idleUntil time.Time // end of the idle timeout, while there are no requests
 	readLimit time.Time // in a stop: reads end by then; zero: none
+	readSince time.Time // start of the phase reading
+	cutOff    bool      // reads of the present body end at once
 }
 
+// idleState says whether a connection may be closed in favour of another one.
+type idleState uint8
+
+const (
+	idle       idleState = iota // no request
+	incomplete                  // the header of a request has been arriving for a while
+	busy                        // must not be closed
+)
+
 func newConn(s *Server, nc net.Conn) *conn {
-	c := &conn{server: s, nc: nc, out: bufio.NewWriter(nc), woken: make(chan struct{}, 1)}
+	c := &conn{server: s, nc: nc, woken: make(chan struct{}, 1), readSince: time.Now()}
+	address, _, _ := net.SplitHostPort(nc.RemoteAddr().String())
+	c.owner = s.account.NewOwner(address)
+	c.buffers = budget.NewHolder(c.owner, budget.Buffers, nil)
 	c.reads = &timedReader{source: nc}
 	c.in = bufio.NewReaderSize(c.reads, smallBuffer)
 	c.reads.buffered = func() int { return c.in.Buffered() }
@@ -72,13 +90,22 @@
 	return c
 }
 
+// reserveBuffers adds to the memory of the connection itself.
+func (c *conn) reserveBuffers(n int64) bool {
+	_, ok := c.buffers.Reserve(time.Now(), n)
+	return ok
+}
+
 // grow replaces the full read buffer by the largest one, with its content. It returns false
-// if the buffer is the largest one already.
+// if the buffer is the largest one already, or memory is short.
 func (c *conn) grow() bool {
 	size := c.server.limits.HeaderBytes + headSlack
 	if c.in.Size() >= size {
 		return false
 	}
+	if c.noRoom = !c.reserveBuffers(int64(size)); c.noRoom {
+		return false
+	}
 	data, err := c.in.Peek(c.in.Buffered())
 	if err != nil {
 		return false
@@ -148,7 +175,7 @@
 		case c.last || !ready():
 			c.phase = parked
 		case buffered || !needByte:
-			c.phase = reading
+			c.phase, c.readSince = reading, time.Now()
 			c.mu.Unlock()
 			return true
 		default:
@@ -236,6 +263,9 @@
 	if !c.readLimit.IsZero() && c.readLimit.Before(t) {
 		t = c.readLimit
 	}
+	if c.cutOff {
+		t = time.Unix(1, 0)
+	}
 	return c.nc.SetReadDeadline(t)
 }
 
@@ -251,6 +281,9 @@
 	}
 	if errors.Is(err, errBufferFull) {
 		err = errHeadTooLarge
+		if c.noRoom {
+			err = &problem{http.StatusServiceUnavailable, "this host is short of memory"}
+		}
 	}
 	if err != nil {
 		return nil, err
@@ -344,7 +377,11 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	x.done = true
-	c.bytes += len(x.body)
+	c.bytes += int(x.body.Len())
+	x.held = x.size + int(x.body.Len())
+	if c.broken {
+		x.release()
+	}
 	c.last = c.last || x.closes()
 	if c.writing {
 		return
@@ -358,7 +395,7 @@
 		c.mu.Lock()
 		c.queue[0] = nil
 		c.queue = c.queue[1:]
-		c.bytes -= head.size + len(head.body)
+		c.bytes -= head.held
 		if err != nil {
 			c.breakOff()
 		} else if len(c.queue) > 0 {
@@ -366,7 +403,54 @@
 		}
 	}
 	c.writing = false
+	if c.broken {
+		c.releaseQueue()
+	}
+	c.wake()
+}
+
+// releaseQueue releases the memory of responses that will not be written. The caller holds
+// c.mu.
+func (c *conn) releaseQueue() {
+	for _, x := range c.queue {
+		if x.done {
+			x.release()
+		}
+	}
+}
+
+// idle reports whether the connection may be closed in favour of another one, and since when.
+func (c *conn) idle(now time.Time) (idleState, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleLocked(now)
+}
+
+// idleLocked is idle with c.mu held.
+func (c *conn) idleLocked(now time.Time) (idleState, time.Time) {
+	switch {
+	case len(c.queue) > 0 || c.last || c.broken:
+		return busy, time.Time{}
+	case c.phase == waiting:
+		return idle, c.idleUntil
+	case c.phase == reading && now.Sub(c.readSince) >= headPatience:
+		return incomplete, c.readSince
+	default:
+		return busy, time.Time{}
+	}
+}
+
+// closeUnlessBusy closes the connection if it may still be closed in favour of another one.
+func (c *conn) closeUnlessBusy(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if state, _ := c.idleLocked(now); state == busy {
+		return false
+	}
+	c.breakOff()
 	c.wake()
+	_ = c.nc.Close()
+	return true
 }
 
 // breakOff ends all requests of the connection. The caller holds c.mu.
@@ -414,6 +498,9 @@
 	c.mu.Lock()
 	answered := c.last && !c.broken && len(c.queue) == 0
 	c.breakOff()
+	if !c.writing { // else the writing goroutine releases them
+		c.releaseQueue()
+	}
 	c.mu.Unlock()
 	if tcp, ok := c.nc.(*net.TCPConn); ok && answered {
 		_ = tcp.CloseWrite()
--- a/caller/context.go
+++ b/caller/context.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"net"
 	"time"
+
+	"rhubarbdrift.example/budget"
 )
 
 // contextKey is the key of the *exchange in a request's context.
@@ -32,3 +35,53 @@
 		return ctx.Err()
 	}
 }
+
+// Owner returns the connection of a request in the account for memory, or nil if another
+// server serves it or there is no account.
+func Owner(ctx context.Context) *budget.Owner {
+	if x, ok := ctx.Value(contextKey{}).(*exchange); ok {
+		return x.conn.owner
+	}
+	return nil
+}
+
+// HeadBytes returns the size of the header of a request, or 0 if another server serves it.
+func HeadBytes(ctx context.Context) int64 {
+	if x, ok := ctx.Value(contextKey{}).(*exchange); ok {
+		return int64(x.size) - max(x.request.ContentLength, 0)
+	}
+	return 0
+}
+
+// LimitBody sets the time by which the body of a request must have been read, and with large
+// set bounds what the system buffers of it. It does nothing if another server serves the
+// request.
+func LimitBody(ctx context.Context, deadline time.Time, large bool) {
+	x, ok := ctx.Value(contextKey{}).(*exchange)
+	if !ok {
+		return
+	}
+	x.bodyDeadline = deadline
+	if tcp, ok := x.conn.nc.(*net.TCPConn); ok && large {
+		_ = tcp.SetReadBuffer(budget.SocketBytes) // without it, the system holds megabytes
+	}
+}
+
+// CutBody ends the reading of a request's body, whose reads fail with
+// os.ErrDeadlineExceeded.
+func CutBody(ctx context.Context) {
+	if x, ok := ctx.Value(contextKey{}).(*exchange); ok && !x.bodyDone.Load() {
+		x.conn.mu.Lock()
+		defer x.conn.mu.Unlock()
+		x.conn.cutOff = true
+		_ = x.conn.nc.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+	}
+}
+
+// Abort closes the connection of a request, so that its caller takes a response that is being
+// written as incomplete.
+func Abort(ctx context.Context) {
+	if x, ok := ctx.Value(contextKey{}).(*exchange); ok {
+		x.conn.abort()
+	}
+}
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -16,6 +17,7 @@
 	"sync/atomic"
 	"time"
 
+	"rhubarbdrift.example/budget"
 	"rhubarbdrift.example/refuse"
 )
 
@@ -23,6 +25,13 @@
 // the request at once.
 const stopRetryAfter = "0.1"
 
+// writePiece is how much of a large response is written with one deadline.
+const writePiece = 64 << 10
+
+// writers holds the write buffers of connections, which need them only while a response is
+// written.
+var writers = sync.Pool{New: func() any { return bufio.NewWriter(nil) }}
+
 // exchange is a request and its response, which is buffered until the earlier ones were
 // written. It implements http.ResponseWriter.
 type exchange struct {
@@ -38,8 +47,12 @@
 
 	header http.Header
 	status int
-	body   []byte
-	done   bool // guarded by conn.mu: the response is complete
+	body   budget.Segments
+	memory *budget.Holder // of the body of the response; nil: not accounted
+	done   bool           // guarded by conn.mu: the response is complete
+	held   int            // guarded by conn.mu: bytes of the request and of the complete response
+
+	bodyDeadline time.Time // reads of the body end by then; zero: none
 }
 
 var _ http.ResponseWriter = (*exchange)(nil)
@@ -76,10 +89,12 @@
 		case nil:
 		case http.ErrAbortHandler:
 			x.conn.abort()
+			x.release()
 			return
 		default:
 			x.conn.server.log.Error().Any("cause", cause).Str("stack", string(debug.Stack())).Msg("request failed")
-			x.header, x.body = make(http.Header), nil
+			x.release()
+			x.header = make(http.Header)
 			x.status = http.StatusInternalServerError
 			x.header.Set("Connection", "close")
 		}
@@ -101,10 +116,26 @@
 // Write implements http.ResponseWriter.
 func (x *exchange) Write(data []byte) (int, error) {
 	x.WriteHeader(http.StatusOK)
-	x.body = append(x.body, data...)
+	x.body.Append(bytes.Clone(data))
 	return len(data), nil
 }
 
+// Deliver sets the body of the response without copying it. The memory is released when it
+// was written; if the caller reads too slowly while memory is short, the connection is
+// closed.
+func (x *exchange) Deliver(body budget.Segments, memory *budget.Holder) {
+	x.WriteHeader(http.StatusOK)
+	x.body, x.memory = body, memory
+}
+
+// release drops the body of the response.
+func (x *exchange) release() {
+	x.body = budget.Segments{}
+	if x.memory != nil {
+		x.memory.Release()
+	}
+}
+
 // writeProblem sets the response to a request that cannot be read.
 func (x *exchange) writeProblem(p *problem) {
 	kind := refuse.KindBad
@@ -120,7 +151,8 @@
 	x.header.Set(refuse.HeaderKind, string(r.Kind))
 	x.header.Set(refuse.HeaderRun, string(r.Run))
 	x.status = p.status
-	x.body, _ = json.Marshal(r) // cannot fail: the type has only string fields
+	body, _ := json.Marshal(r) // cannot fail: the type has only string fields
+	x.body = budget.Of(body)
 }
 
 // discardable reports whether the rest of the body can be read and dropped, so that the
@@ -150,11 +182,17 @@
 	}
 	hasBody := x.status >= http.StatusOK && x.status != http.StatusNoContent && x.status != http.StatusNotModified
 	if hasBody && (x.request.Method != http.MethodHead || x.header.Get("Content-Length") == "") {
-		x.header.Set("Content-Length", strconv.Itoa(len(x.body)))
+		x.header.Set("Content-Length", strconv.FormatInt(x.body.Len(), 10))
 	} else if !hasBody {
 		x.header.Del("Content-Length")
 	}
-	out := x.conn.out
+	out := writers.Get().(*bufio.Writer)
+	out.Reset(x.conn.nc)
+	defer func() {
+		out.Reset(nil)
+		writers.Put(out)
+		x.release()
+	}()
 	_ = x.conn.nc.SetWriteDeadline(time.Now().Add(x.conn.server.limits.IdleTimeout)) // a failure shows in the writes
 	writeStatusLine(out, x.status)
 	if err := x.header.Write(out); err != nil {
@@ -162,11 +200,47 @@
 	}
 	_, _ = out.WriteString("\r\n") // errors are kept for Flush
 	if hasBody && x.request.Method != http.MethodHead {
-		_, _ = out.Write(x.body)
+		if err := x.writeBody(out); err != nil {
+			return err
+		}
 	}
 	return out.Flush()
 }
 
+// writeBody writes the body of the response in pieces, and releases the memory of each
+// segment. A caller that reads nothing of a piece within the idle timeout is given up.
+func (x *exchange) writeBody(out *bufio.Writer) error {
+	if x.memory == nil {
+		for _, part := range x.body.Parts() {
+			_, _ = out.Write(part) // errors are kept for Flush
+		}
+		return nil
+	}
+	if tcp, ok := x.conn.nc.(*net.TCPConn); ok && x.body.Len() > budget.SmallHolder {
+		_ = tcp.SetWriteBuffer(budget.SocketBytes) // without it, the system holds megabytes
+	}
+	left := x.body.Len()
+	x.memory.Expect(time.Now(), true)
+	for i, part := range x.body.Parts() {
+		for len(part) > 0 {
+			n := min(len(part), writePiece)
+			now := time.Now()
+			x.memory.Progress(now, n)
+			_ = x.conn.nc.SetWriteDeadline(now.Add(x.conn.server.limits.IdleTimeout)) // as in write
+			if _, err := out.Write(part[:n]); err != nil {
+				return err
+			}
+			part = part[n:]
+			left -= int64(n)
+		}
+		if left > 0 {
+			x.body.Parts()[i] = nil
+			x.memory.ReleaseTo(left)
+		}
+	}
+	return nil
+}
+
 // writeStatusLine writes the first line of a response. Errors are kept for Flush.
 func writeStatusLine(out *bufio.Writer, status int) {
 	text := http.StatusText(status)
@@ -196,14 +270,17 @@
 	}
 	if !b.started && x.expectsContinue {
 		// All earlier requests were answered, so nothing else is being written.
-		_, _ = x.conn.out.WriteString("HTTP/1.1 100 Continue\r\n\r\n")
-		if err := x.conn.out.Flush(); err != nil {
+		if _, err := io.WriteString(x.conn.nc, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return 0, err
 		}
 		x.expectsContinue = false
 	}
 	b.started = true
-	_ = x.conn.setReadDeadline(time.Now().Add(x.conn.server.limits.IdleTimeout)) // a failure shows in the read
+	limit := time.Now().Add(x.conn.server.limits.IdleTimeout)
+	if !x.bodyDeadline.IsZero() && x.bodyDeadline.Before(limit) {
+		limit = x.bodyDeadline
+	}
+	_ = x.conn.setReadDeadline(limit) // a failure shows in the read
 	n, err := b.source.Read(p)
 	if err == nil {
 		return n, nil
--- a/caller/server.go
+++ b/caller/server.go
@@ -1,15 +1,19 @@
 package caller
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
+
+	"rhubarbdrift.example/budget"
 )
 
 const (
@@ -24,6 +28,15 @@
 	backlogTime = 50 * time.Millisecond
 	// stopPoll is how often a stop checks whether all connections have ended.
 	stopPoll = 10 * time.Millisecond
+	// shedPart is the divisor of the part of the connections that are closed at once when
+	// there are too many.
+	shedPart = 32
+	// searchPause is the time after a search for connections to close that found none
+	// before the next one. A search looks at all connections.
+	searchPause = 20 * time.Millisecond
+	// headPatience is how long the header of a request may have been arriving before its
+	// connection is closed in favour of another one.
+	headPatience = time.Second
 	// acceptRetry is the pause after a failed accept, such as one without a free
 	// file descriptor.
 	acceptRetry = 20 * time.Millisecond
@@ -36,6 +49,7 @@
 	IdleTimeout   time.Duration // time without a request, and between two parts of a body
 	Requests      int           // requests of a connection that are worked on at the same time
 	Bytes         int           // bytes of these requests, and of responses that wait for earlier ones
+	Connections   int           // connections of all callers; 0: no limit
 }
 
 // Server serves HTTP/1.1 to callers.
@@ -44,6 +58,9 @@
 	limits  Limits
 	log     zerolog.Logger
 	metrics serverMetrics
+	account *budget.Account // nil: memory is not bounded
+	// searched is when makeRoom found nothing; used by the accepting goroutine.
+	searched time.Time
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -57,6 +74,8 @@
 	behind      tally.Counter
 	held        tally.Counter
 	malformed   tally.Counter
+	dropped     tally.Counter
+	shed        tally.Counter
 }
 
 // Option configures a Server.
@@ -68,6 +87,9 @@
 // WithMeter sets the scope in which metrics are registered.
 func WithMeter(m tally.Scope) Option { return func(s *Server) { s.metrics = newMetrics(m) } }
 
+// WithAccount sets the account for the memory of connections and requests.
+func WithAccount(a *budget.Account) Option { return func(s *Server) { s.account = a } }
+
 // New returns a server that hands requests to the handler.
 func New(handler http.Handler, limits Limits, options ...Option) *Server {
 	s := &Server{handler: handler, limits: limits, log: zerolog.Nop(), metrics: newMetrics(tally.NoopScope), conns: make(map[*conn]struct{})}
@@ -84,6 +106,8 @@
 		behind:      m.Counter("requests_behind"),
 		held:        m.Counter("reads_held"),
 		malformed:   m.Counter("malformed"),
+		dropped:     m.Counter("connections_refused"),
+		shed:        m.Counter("idle_closed"),
 	}
 }
 
@@ -121,15 +145,24 @@
 	return s.stopped
 }
 
-// open serves a new connection.
+// open serves a new connection, or closes it if there are too many or their memory is used
+// up, and none of them can be closed instead.
 func (s *Server) open(nc net.Conn) {
 	c := newConn(s, nc)
+	if !s.admit(c) {
+		s.metrics.dropped.Inc(1)
+		c.owner.Close()
+		_ = nc.Close()
+		return
+	}
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.metrics.connections.Update(float64(len(s.conns)))
 	s.mu.Unlock()
 	go func() {
 		c.serve()
+		c.buffers.Release()
+		c.owner.Close()
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.conns, c)
@@ -137,6 +170,65 @@
 	}()
 }
 
+// makeRoom closes the connections that have been idle for longest, or else those of which
+// the header of a request has been arriving for longest, or else ends requests whose callers
+// make no progress. It closes several, so that connections that arrive in large numbers
+// don't make it search each time. It returns false if there were none.
+func (s *Server) makeRoom() bool {
+	type candidate struct {
+		conn  *conn
+		state idleState
+		since time.Time
+	}
+	now := time.Now()
+	if now.Sub(s.searched) < searchPause {
+		return false
+	}
+	var list []candidate
+	all := s.all()
+	for _, c := range all {
+		if state, since := c.idle(now); state != busy {
+			list = append(list, candidate{c, state, since})
+		}
+	}
+	count := max(1, len(all)/shedPart)
+	slices.SortFunc(list, func(x, y candidate) int {
+		return cmp.Or(cmp.Compare(x.state, y.state), x.since.Compare(y.since))
+	})
+	closed := 0
+	for _, x := range list[:min(count, len(list))] {
+		if x.conn.closeUnlessBusy(now) {
+			s.mu.Lock()
+			delete(s.conns, x.conn)
+			s.mu.Unlock()
+			closed++
+		}
+	}
+	s.metrics.shed.Inc(int64(closed))
+	if closed > 0 || s.account.EvictSlow(now, count) > 0 {
+		return true
+	}
+	s.searched = now
+	return false
+}
+
+// admit reserves the memory of a new connection and closes others if there are too many.
+func (s *Server) admit(c *conn) bool {
+	limit := s.limits.Connections
+	// Requests that makeRoom ends keep their connections until they are answered.
+	if limit > 0 && s.Open() >= limit && (!s.makeRoom() || s.Open() > limit+limit/8) {
+		return false
+	}
+	return c.reserveBuffers(budget.ConnectionBytes) || s.makeRoom() && c.reserveBuffers(budget.ConnectionBytes)
+}
+
+// Open returns the number of connections.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // Shutdown stops accepting connections, closes the idle ones and waits until all others
 // have ended. Requests that still arrive are handed to the handler, which should refuse
 // those that it can't finish in time. Shortly before the deadline of ctx, requests that
