proxy: request bodies and responses within the account for memory

readBody read a whole body with io.ReadAll under a limit for one request only: 12 bodies of 60 MB took 1,166 MB. It now reserves a known length before it reads, an unknown one step by step, and keeps the body as segments, which are sent without being joined. Without room the request is refused as not run, with a Retry-After from the rates of the callers that hold memory. The body must arrive by the request's deadline; before, a later one was refused after it had been read. The response of the exchange that the caller gets keeps its memory until it is written, those of the others are released.

--- a/proxy/call.go
+++ b/proxy/call.go
@@ -10,8 +10,10 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
+	"rhubarbdrift.example/budget"
 	"rhubarbdrift.example/caller"
 	"rhubarbdrift.example/conf"
 	"rhubarbdrift.example/model"
@@ -39,7 +41,9 @@
 	customer  *model.Customer // nil on open routes without a valid key
 	hasKey    bool            // the request carries a key
 	keyDigest model.Digest
-	body      []byte
+	body      budget.Segments
+	memory    *budget.Holder // of the body and of the connection to the target
+	bodyUsers atomic.Int32   // the call and its exchanges; the last one releases memory
 
 	admitted   bool // a token of the customer's limit was consumed
 	sends      int  // sends for which bytes were written to the target
@@ -56,6 +60,8 @@
 // that was refused without a byte sent to a target gives its token of the
 // customer's limit back.
 func (c *call) serve() *response {
+	c.bodyUsers.Store(1)
+	defer c.dropBody()
 	for _, step := range []func() *response{c.resolveRoute, c.refuseInStop, c.authenticate, c.readBody, c.awaitTurn, c.refuseInStop, c.refuseLate, c.admit} {
 		if resp := step(); resp != nil {
 			return resp
@@ -220,7 +226,8 @@
 	return refusal(refuse.New(refuse.KindKey, refuse.NotRun, "the key was withdrawn", "ask an operator for a key"), 0)
 }
 
-// readBody buffers the whole body, so that the request can be sent again.
+// readBody buffers the whole body, so that the request can be sent again. The memory for a
+// body of known length is reserved before it is read, otherwise step by step.
 func (c *call) readBody() *response {
 	maxBytes := int64(defaultMaxBodyBytes)
 	if c.route.MaxBodyBytes > 0 {
@@ -229,21 +236,63 @@
 	if c.request.ContentLength > maxBytes {
 		return tooLargeRefusal()
 	}
-	body, err := io.ReadAll(io.LimitReader(c.request.Body, maxBytes+1))
+	ctx, known := c.request.Context(), c.request.ContentLength
+	// The header is held twice: as the caller's and as the target's request.
+	needed := budget.ExchangeBytes + 2*caller.HeadBytes(ctx) + max(known, 0)
+	large := known < 0 || known > budget.SmallHolder
+	if large {
+		needed += budget.SocketBytes
+	}
+	c.memory = budget.NewHolder(caller.Owner(ctx), budget.Bodies, func() { caller.CutBody(ctx) })
+	if wait, ok := c.memory.Reserve(time.Now(), needed); !ok {
+		return memoryRefusal(wait)
+	}
+	if known == 0 {
+		return nil
+	}
+	caller.LimitBody(ctx, c.deadline, large)
+	c.memory.Expect(time.Now(), true)
+	var wait time.Duration
+	body, err := budget.ReadAll(c.request.Body, known, maxBytes, func(n int64) error {
+		var ok bool
+		if wait, ok = c.memory.Reserve(time.Now(), n); !ok {
+			return errNoMemory
+		}
+		return nil
+	}, c.memory.Progress)
+	c.memory.Expect(time.Now(), false)
 	switch {
+	case errors.Is(err, errNoMemory):
+		return memoryRefusal(wait)
+	case c.memory.Evicted():
+		return memoryRefusal(shortRetryDelay)
 	case c.request.Context().Err() != nil || errors.Is(err, io.ErrUnexpectedEOF):
 		return nil // run detects that the caller closed the connection
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return refusal(refuse.New(refuse.KindBusy, refuse.NotRun, "the body did not arrive in time", "retry"), shortRetryDelay)
 	case err != nil:
 		return refusal(refuse.New(refuse.KindBad, refuse.NotRun, "the body cannot be read", "send a complete body"), 0)
-	case int64(len(body)) > maxBytes:
+	case body.Len() > maxBytes:
 		return tooLargeRefusal()
 	}
 	c.body = body
 	return nil
 }
 
+// errNoMemory ends the reading of a body for which there is no memory.
+var errNoMemory = errors.New("memory is short")
+
+func memoryRefusal(wait time.Duration) *response {
+	return refusal(refuse.New(refuse.KindBusy, refuse.NotRun, "this host is short of memory", "retry, which may reach another daemon"), wait)
+}
+
+// dropBody ends one use of the request's body. The last one releases its memory.
+func (c *call) dropBody() {
+	if c.bodyUsers.Add(-1) == 0 && c.memory != nil {
+		c.memory.Release()
+	}
+}
+
 func tooLargeRefusal() *response {
 	return refusal(refuse.New(refuse.KindLarge, refuse.NotRun, "the request body is above the limit", "send a smaller body"), 0)
 }
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -32,6 +32,7 @@
 	target     *place.Target
 	out        exch.Outcome
 	targetResp *fasthttp.Response
+	room       exch.Room // memory for the response
 	slow       atomic.Bool
 }
 
@@ -46,6 +47,7 @@
 	fallback *response // a target's error response, returned if no other target succeeds
 	refused  bool      // a target refused the request because it had no free slot
 	timedOut bool      // the exchange that ended last, or one at the deadline, got no response in time
+	rooms    rooms
 }
 
 // run sends the request until there is a final response.
@@ -55,6 +57,7 @@
 	d := &dispatch{call: c, ctx: ctx, seconds: seconds, bytes: bytes, results: make(chan *sendAttempt, maxTriedTargets+1)}
 	c.proxy.deps.Limiter.CountRequest(c.pool)
 	resp := d.loop()
+	d.rooms.keepOnly(resp)
 	if d.inFlight == 0 || resp == nil || ctx.Err() != nil || d.proxy.hasStopped() {
 		cancel()
 		return resp
@@ -120,7 +123,11 @@
 	d.tried = append(d.tried, t.ID)
 	d.inFlight++
 	s := &sendAttempt{target: t, targetResp: new(fasthttp.Response)}
+	s.room.Memory = d.rooms.open(d.call)
+	d.bodyUsers.Add(1)
 	go func() {
+		defer d.dropBody()
+		defer d.rooms.end(s.room.Memory)
 		defer d.recoverExchange(s)
 		d.exchange(s)
 	}()
@@ -205,7 +212,7 @@
 	if d.repeatable() {
 		do = d.proxy.deps.Exchange.Do
 	}
-	s.out = do(d.ctx, &s.target.Target, req, s.targetResp)
+	s.out = do(exch.WithRoom(d.ctx, &s.room), &s.target.Target, req, s.targetResp)
 	slowTimer.Stop()
 	end()
 	d.recordAnnouncement(s.target, started, &s.out)
@@ -225,7 +232,7 @@
 		s.target.SetLoad(time.Now(), load)
 	}
 	if s.out.Class == exch.Complete {
-		d.proxy.requestStats.add(d.route, time.Since(started), len(s.targetResp.Body())+len(d.body))
+		d.proxy.requestStats.add(d.route, time.Since(started), int(s.body().Len()+d.body.Len()))
 	}
 	d.results <- s
 }
@@ -376,7 +383,7 @@
 		return refusal(refuse.New(refuse.KindTarget, refuse.Unknown, "the target failed the request", "ask for the state before sending the request again"), 0)
 	}
 	header.RemoveHopByHop(&s.targetResp.Header)
-	resp := &response{status: status, kind: "answer", headers: make(http.Header), body: s.targetResp.Body()}
+	resp := &response{status: status, kind: "answer", headers: make(http.Header), body: s.body(), memory: s.room.Memory}
 	for name, value := range s.targetResp.Header.All() {
 		resp.headers.Add(string(name), string(value))
 	}
@@ -410,7 +417,12 @@
 	if d.customer != nil {
 		h.Set(protocol.Customer, string(d.customer.ID))
 	}
-	if len(d.body) > 0 || d.request.ContentLength != 0 {
-		req.SetBodyRaw(d.body)
+	switch parts := d.body.Parts(); {
+	case len(parts) > 1:
+		req.SetBodyStream(d.body.Reader(), int(d.body.Len()))
+	case len(parts) == 1:
+		req.SetBodyRaw(parts[0])
+	case d.request.ContentLength != 0:
+		req.SetBodyRaw(nil)
 	}
 }
