entry, platform: memory and descriptors of the machine bound what callers take

Settings self.limits.memoryMb and self.limits.maxFds are read; without them the memory is MemTotal and the descriptors are the limit of the process. From them follow the account (0.45 of the memory, at least 80 MiB), the soft limit of the Go runtime (0.8; GOMEMLIMIT takes precedence) and the largest numbers of connections from callers and to targets. callers.heldBytes and callers.connections set two of these. There are metrics by kind and reason, and a log line when memory or descriptors become short and when they no longer are.

TestHostile passes in all eight kinds. Its entries leave KNOWN-RED.txt.

--- a/Makefile
+++ b/Makefile
@@ -25,10 +25,14 @@
 	go vet ./...
 
 # Tests listed in KNOWN-RED.txt, which unit skips.
-RED = ^TestSoak$$/^(3|210)$$|^TestHostile$$/^(whole|pieces|chunks|tiny-chunks|over-chunked|headers|readers)$$
+RED = ^TestSoak$$/^(3|210)$$
+
+# The tests of hostile callers run apart from other load.
+HOSTILE = ^(TestHostile|TestLargestRequest)$$
 
 unit:
-	go test -race -count=1 -skip '$(RED)' ./...
+	go test -race -count=1 -skip '$(RED)|$(HOSTILE)' ./...
+	go test -race -count=1 -run '$(HOSTILE)' ./platform
 
 # Prints the figures of docs/measures.md; takes several minutes.
 measure:
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"rhubarbdrift.example/budget"
 	"rhubarbdrift.example/caller"
 	"rhubarbdrift.example/clock"
 	"rhubarbdrift.example/conf"
@@ -22,6 +23,7 @@
 	"rhubarbdrift.example/proxy"
 	"rhubarbdrift.example/serve"
 	"rhubarbdrift.example/store"
+	"rhubarbdrift.example/sysmem"
 	"rhubarbdrift.example/watch"
 	"rhubarbdrift.example/wire"
 )
@@ -73,20 +75,25 @@
 	services *kernel.Kernel
 	meter    *meter.Meter
 
-	holder     *conf.Holder
-	balancer   *place.Balancer
-	config     *watch.ConfigFollower
-	targets    *watch.Targets
-	hosts      *watch.Hosts
-	limits     *limit.Set
-	pauses     *limit.PauseGuard
-	node       *mesh.Node
-	exchange   *exch.Client
-	proxy      *proxy.Proxy
-	callers    *serve.NetHTTP
-	stopping   atomic.Bool
-	wasReady   atomic.Bool
-	shareKnown atomic.Bool // the list of daemons was read and the share of the limits computed
+	holder       *conf.Holder
+	balancer     *place.Balancer
+	config       *watch.ConfigFollower
+	targets      *watch.Targets
+	hosts        *watch.Hosts
+	limits       *limit.Set
+	pauses       *limit.PauseGuard
+	node         *mesh.Node
+	exchange     *exch.Client
+	proxy        *proxy.Proxy
+	callers      *serve.NetHTTP
+	account      *budget.Account
+	machine      sysmem.Machine
+	callerServer *caller.Server
+	// callerConnections and targetConnections are the largest numbers of connections.
+	callerConnections, targetConnections int
+	stopping                             atomic.Bool
+	wasReady                             atomic.Bool
+	shareKnown                           atomic.Bool // the list of daemons was read and the share of the limits computed
 }
 
 // Option sets an optional property of an Entry.
@@ -111,6 +118,7 @@
 
 // build creates the components and connects them.
 func (e *Entry) build() {
+	e.buildAccount()
 	s, names := e.settings, e.adapter.ObjectNames()
 	e.balancer = place.NewBalancer(place.Location{Region: s.Region, Domain: s.Domain}, place.WithDemandReport(func(id model.TargetID, urgent bool) {
 		reporter{e.node}.reportDemand(id, urgent)
@@ -124,7 +132,7 @@
 		limit.Tolerance{Window: s.LimitWindow, Share: s.LimitOvershoot, Slack: s.LimitSlack}, reporter{e.node})
 	e.pauses = limit.NewPauseGuard(clock.SinceBoot, e.limitAfterPause)
 	e.exchange = exch.New(exch.WithHeaders(e.adapter.Headers()), exch.WithConnectTimeout(connectTimeout), exch.WithIdleTimeout(idleTimeout),
-		exch.WithMaxBuffered(maxAnswerBytes), exch.WithMaxConnections(maxTargetConnections))
+		exch.WithMaxBuffered(maxAnswerBytes), exch.WithMaxConnections(maxTargetConnections), exch.WithMaxOpen(e.targetConnections))
 	e.proxy = proxy.New(proxy.Dependencies{
 		Protocol:          e.adapter.Protocol(),
 		Snapshot:          e.holder.Current,
@@ -152,10 +160,12 @@
 	peers := wire.NewServer(wire.WithLog(e.log))
 	relayedLists := &mesh.RelayedLists{Clock: clock.SinceBoot, All: []mesh.List{e.config, e.targets}}
 	mesh.RegisterHandler(peers, e.node, relayedLists)
-	e.callers = &serve.NetHTTP{Name: "callers", Address: e.settings.CallerAddress, Log: e.log, Server: caller.New(e.proxy, caller.Limits{
+	e.callerServer = caller.New(e.proxy, caller.Limits{
 		HeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout,
 		Requests: cmp.Or(e.settings.CallerRequests, DefaultCallerRequests), Bytes: cmp.Or(e.settings.CallerBytes, DefaultCallerBytes),
-	}, caller.WithLog(e.log), caller.WithMeter(e.meter.Scope()))}
+		Connections: e.callerConnections,
+	}, caller.WithAccount(e.account), caller.WithLog(e.log), caller.WithMeter(e.meter.Scope()))
+	e.callers = &serve.NetHTTP{Name: "callers", Address: e.settings.CallerAddress, Log: e.log, Server: e.callerServer}
 	steps := []func() error{
 		func() error { return kernel.Provide(e.services, "config", e.config) },
 		func() error { return kernel.Provide(e.services, "targets", e.targets) },
@@ -168,6 +178,7 @@
 		},
 		func() error { return kernel.Provide(e.services, "exchange", e.exchange) },
 		func() error { return kernel.Provide(e.services, "parts", serviceFunc(e.updateShare)) },
+		func() error { return kernel.Provide(e.services, "memory", serviceFunc(e.watchAccount)) },
 		func() error { return kernel.Provide(e.services, "callers", e.callers) },
 		func() error { return kernel.Provide(e.services, "ready", e.readinessServer()) },
 	}
@@ -188,9 +199,11 @@
 // Run serves until ctx ends, then makes a planned stop. It returns the first error
 // of a service.
 func (e *Entry) Run(ctx context.Context) error {
+	sysmem.SetRuntimeLimit(e.machine)
 	e.log.Info().Str("region", string(e.settings.Region)).Str("domain", string(e.settings.Domain)).
 		Str("callers", e.settings.CallerAddress).Str("peers", e.settings.PeerAddress).Str("store", e.settings.StoreAddress).
-		Dur("key_life", e.settings.KeyRevocationLimit).Msg("entry started")
+		Dur("key_life", e.settings.KeyRevocationLimit).Int64("memory", e.machine.Memory).Int64("held_limit", e.account.Status().Limit).
+		Int("caller_connections", e.callerConnections).Int("target_connections", e.targetConnections).Msg("entry started")
 	// The services outlive ctx: they end only after the planned stop.
 	base, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -36,6 +36,11 @@
 	CallerRequests int // requests of one connection that are worked on at the same time; 0: DefaultCallerRequests
 	CallerBytes    int // size in bytes of these requests and of their responses that wait; 0: DefaultCallerBytes
 
+	Memory            int64 // memory of the machine in bytes; 0: that of the system
+	Descriptors       int   // descriptors of the process; 0: the limit of the system
+	HeldBytes         int64 // bytes held for callers; 0: follows from Memory
+	CallerConnections int   // connections of callers; 0: follows from Memory and Descriptors
+
 	LimitWindow    time.Duration // in which requests are counted against customers' limits
 	LimitOvershoot float64       // share of a limit by which it may be exceeded
 	LimitSlack     float64       // requests by which a limit may be exceeded in addition to LimitOvershoot
@@ -47,6 +52,13 @@
 	DefaultCallerBytes    = 256 << 10
 )
 
+// The least that a machine must have, and must be allowed to hold for callers.
+const (
+	minMemory      = 32 << 20
+	minDescriptors = 64
+	minHeldBytes   = 1 << 20
+)
+
 // Check returns an error of kind invalid for one of the invalid settings, or nil if
 // all are valid.
 func (s *Settings) Check() error {
@@ -81,6 +93,17 @@
 	if s.CallerRequests < 0 || s.CallerBytes < 0 {
 		return fault.Invalid("limits of a caller's connection", "the number or the size of its requests is negative", "set both to more than 0, or leave them out")
 	}
+	return s.checkMachine()
+}
+
+// checkMachine checks the limits of the machine, as Check does.
+func (s *Settings) checkMachine() error {
+	if s.Memory < 0 || s.Descriptors < 0 || s.HeldBytes < 0 || s.CallerConnections < 0 {
+		return fault.Invalid("limits of the machine", "the memory, the descriptors or what may be held for callers is negative", "set them to more than 0, or leave them out")
+	}
+	if s.Memory > 0 && s.Memory < minMemory || s.Descriptors > 0 && s.Descriptors < minDescriptors || s.HeldBytes > 0 && s.HeldBytes < minHeldBytes {
+		return fault.Invalid("limits of the machine", fmt.Sprintf("less than %d MB, %d descriptors or %d bytes held for callers", minMemory>>20, minDescriptors, minHeldBytes), "give the process more")
+	}
 	return nil
 }
 
