--- a/caller/conn.go
+++ b/caller/conn.go
@@ -69,15 +69,6 @@
 	cutOff    bool      // reads of the present body end at once
 }
 
-// idleState says whether a connection may be closed in favour of another one.
-type idleState uint8
-
-const (
-	idle       idleState = iota // no request
-	incomplete                  // the header of a request has been arriving for a while
-	busy                        // must not be closed
-)
-
 func newConn(s *Server, nc net.Conn) *conn {
 	c := &conn{server: s, nc: nc, woken: make(chan struct{}, 1), readSince: time.Now()}
 	address, _, _ := net.SplitHostPort(nc.RemoteAddr().String())
@@ -90,12 +81,6 @@
 	return c
 }
 
-// reserveBuffers adds to the memory of the connection itself.
-func (c *conn) reserveBuffers(n int64) bool {
-	_, ok := c.buffers.Reserve(time.Now(), n)
-	return ok
-}
-
 // grow replaces the full read buffer by the largest one, with its content. It returns false
 // if the buffer is the largest one already, or memory is short.
 func (c *conn) grow() bool {
@@ -409,50 +394,6 @@
 	c.wake()
 }
 
-// releaseQueue releases the memory of responses that will not be written. The caller holds
-// c.mu.
-func (c *conn) releaseQueue() {
-	for _, x := range c.queue {
-		if x.done {
-			x.release()
-		}
-	}
-}
-
-// idle reports whether the connection may be closed in favour of another one, and since when.
-func (c *conn) idle(now time.Time) (idleState, time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.idleLocked(now)
-}
-
-// idleLocked is idle with c.mu held.
-func (c *conn) idleLocked(now time.Time) (idleState, time.Time) {
-	switch {
-	case len(c.queue) > 0 || c.last || c.broken:
-		return busy, time.Time{}
-	case c.phase == waiting:
-		return idle, c.idleUntil
-	case c.phase == reading && now.Sub(c.readSince) >= headPatience:
-		return incomplete, c.readSince
-	default:
-		return busy, time.Time{}
-	}
-}
-
-// closeUnlessBusy closes the connection if it may still be closed in favour of another one.
-func (c *conn) closeUnlessBusy(now time.Time) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if state, _ := c.idleLocked(now); state == busy {
-		return false
-	}
-	c.breakOff()
-	c.wake()
-	_ = c.nc.Close()
-	return true
-}
-
 // breakOff ends all requests of the connection. The caller holds c.mu.
 func (c *conn) breakOff() {
 	c.broken, c.last = true, true
--- a/caller/server.go
+++ b/caller/server.go
@@ -1,12 +1,10 @@
 package caller
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -28,15 +26,6 @@
 	backlogTime = 50 * time.Millisecond
 	// stopPoll is how often a stop checks whether all connections have ended.
 	stopPoll = 10 * time.Millisecond
-	// shedPart is the divisor of the part of the connections that are closed at once when
-	// there are too many.
-	shedPart = 32
-	// searchPause is the time after a search for connections to close that found none
-	// before the next one. A search looks at all connections.
-	searchPause = 20 * time.Millisecond
-	// headPatience is how long the header of a request may have been arriving before its
-	// connection is closed in favour of another one.
-	headPatience = time.Second
 	// acceptRetry is the pause after a failed accept, such as one without a free
 	// file descriptor.
 	acceptRetry = 20 * time.Millisecond
@@ -170,58 +159,6 @@
 	}()
 }
 
-// makeRoom closes the connections that have been idle for longest, or else those of which
-// the header of a request has been arriving for longest, or else ends requests whose callers
-// make no progress. It closes several, so that connections that arrive in large numbers
-// don't make it search each time. It returns false if there were none.
-func (s *Server) makeRoom() bool {
-	type candidate struct {
-		conn  *conn
-		state idleState
-		since time.Time
-	}
-	now := time.Now()
-	if now.Sub(s.searched) < searchPause {
-		return false
-	}
-	var list []candidate
-	all := s.all()
-	for _, c := range all {
-		if state, since := c.idle(now); state != busy {
-			list = append(list, candidate{c, state, since})
-		}
-	}
-	count := max(1, len(all)/shedPart)
-	slices.SortFunc(list, func(x, y candidate) int {
-		return cmp.Or(cmp.Compare(x.state, y.state), x.since.Compare(y.since))
-	})
-	closed := 0
-	for _, x := range list[:min(count, len(list))] {
-		if x.conn.closeUnlessBusy(now) {
-			s.mu.Lock()
-			delete(s.conns, x.conn)
-			s.mu.Unlock()
-			closed++
-		}
-	}
-	s.metrics.shed.Inc(int64(closed))
-	if closed > 0 || s.account.EvictSlow(now, count) > 0 {
-		return true
-	}
-	s.searched = now
-	return false
-}
-
-// admit reserves the memory of a new connection and closes others if there are too many.
-func (s *Server) admit(c *conn) bool {
-	limit := s.limits.Connections
-	// Requests that makeRoom ends keep their connections until they are answered.
-	if limit > 0 && s.Open() >= limit && (!s.makeRoom() || s.Open() > limit+limit/8) {
-		return false
-	}
-	return c.reserveBuffers(budget.ConnectionBytes) || s.makeRoom() && c.reserveBuffers(budget.ConnectionBytes)
-}
-
 // Open returns the number of connections.
 func (s *Server) Open() int {
 	s.mu.Lock()
--- a/exch/exchange.go
+++ b/exch/exchange.go
@@ -13,7 +13,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"rhubarbdrift.example/budget"
 	"rhubarbdrift.example/fault"
 	"rhubarbdrift.example/model"
 )
@@ -338,56 +337,6 @@
 	return x.out
 }
 
-// setBody reads a body of a size, which is negative if unknown, into memory and ends the
-// exchange. The body goes to the Room of the exchange if there is one, else to resp.
-func (x *exchange) setBody(resp *fasthttp.Response, b *body, size int) {
-	room, _ := x.ctx.Value(roomKey{}).(*Room)
-	data, ok := x.bufferBody(b, room, size)
-	switch {
-	case !ok:
-		return
-	case room != nil:
-		room.Body = data
-		resp.ResetBody()
-	default:
-		joined := make([]byte, 0, data.Len())
-		for _, part := range data.Parts() {
-			joined = append(joined, part...)
-		}
-		resp.SetBodyRaw(joined)
-	}
-	resp.Header.SetContentLength(int(data.Len()))
-}
-
-// bufferBody reads a body of a size, which is negative if unknown, into memory and ends the
-// exchange. It returns false on failure.
-func (x *exchange) bufferBody(b *body, room *Room, size int) (data budget.Segments, ok bool) {
-	limit := x.client.maxBuffered
-	x.conn.bodyDeadline = x.deadline
-	known := int64(max(size, -1))
-	var err error
-	switch {
-	case size > limit:
-		err = errTooLarge
-	case size >= 0:
-		err = room.reserve(x.ctx, int64(size))
-	}
-	if err == nil {
-		data, err = budget.ReadAll(b, known, int64(limit), func(n int64) error { return room.reserve(x.ctx, n) }, func(time.Time, int) {})
-	}
-	if err == nil && data.Len() > int64(limit) {
-		err = errTooLarge
-	}
-	switch {
-	case errors.Is(err, errTooLarge):
-		x.abort(fault.New(fault.KindLimited, "the response exceeds the "+strconv.Itoa(limit)+" bytes that are read into memory",
-			"let the target send a length or chunks"))
-	case err != nil:
-		x.abort(err)
-	}
-	return data, x.out.Class == Complete
-}
-
 // finishShed ends an exchange whose request the target shed. The connection is kept if
 // the body is already buffered and responses name their request. Without that, a
 // refusal that the target writes once more would be taken for that of the next request.
