--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	go build -o bin/rhubarbdrift .
 
 bench: build
-	go test -run NONE -bench . -benchtime 1s ./queue ./pick ./tokens ./exch ./gate
+	go test -run NONE -bench . -benchtime 1s ./queue ./pick ./tokens ./exch ./gate ./budget ./proxy
 	go test -run '^TestBench$$' -count=1 -v ./bench -args -program $(CURDIR)/bin/rhubarbdrift
 
 demo: build
