--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	go build -o bin/rhubarbdrift .
 
 bench: build
-	go test -run NONE -bench . -benchtime 1s ./queue ./pick ./tokens ./exch ./gate
+	go test -run NONE -bench . -benchtime 1s ./queue ./pick ./tokens ./exch ./gate ./budget ./proxy
 	go test -run '^TestBench$$' -count=1 -v ./bench -args -program $(CURDIR)/bin/rhubarbdrift
 
 demo: build
@@ -27,8 +27,12 @@
 # Tests listed in KNOWN-RED.txt, which unit skips.
 RED = ^TestSoak$$/^(3|210)$$
 
+# The tests of hostile callers run apart from other load.
+HOSTILE = ^(TestHostile|TestLargestRequest)$$
+
 unit:
-	go test -race -count=1 -skip '$(RED)' ./...
+	go test -race -count=1 -skip '$(RED)|$(HOSTILE)' ./...
+	go test -race -count=1 -run '$(HOSTILE)' ./platform
 
 # Prints the figures of docs/measures.md; takes several minutes.
 measure:
--- a/caller/server.go
+++ b/caller/server.go
@@ -10,6 +10,8 @@
 
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
+
+	"rhubarbdrift.example/budget"
 )
 
 const (
@@ -36,6 +38,7 @@
 	IdleTimeout   time.Duration // time without a request, and between two parts of a body
 	Requests      int           // requests of a connection that are worked on at the same time
 	Bytes         int           // bytes of these requests, and of responses that wait for earlier ones
+	Connections   int           // connections of all callers; 0: no limit
 }
 
 // Server serves HTTP/1.1 to callers.
@@ -44,6 +47,9 @@
 	limits  Limits
 	log     zerolog.Logger
 	metrics serverMetrics
+	account *budget.Account // nil: memory is not bounded
+	// searched is when makeRoom found nothing; used by the accepting goroutine.
+	searched time.Time
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -57,6 +63,8 @@
 	behind      tally.Counter
 	held        tally.Counter
 	malformed   tally.Counter
+	dropped     tally.Counter
+	shed        tally.Counter
 }
 
 // Option configures a Server.
@@ -68,6 +76,9 @@
 // WithMeter sets the scope in which metrics are registered.
 func WithMeter(m tally.Scope) Option { return func(s *Server) { s.metrics = newMetrics(m) } }
 
+// WithAccount sets the account for the memory of connections and requests.
+func WithAccount(a *budget.Account) Option { return func(s *Server) { s.account = a } }
+
 // New returns a server that hands requests to the handler.
 func New(handler http.Handler, limits Limits, options ...Option) *Server {
 	s := &Server{handler: handler, limits: limits, log: zerolog.Nop(), metrics: newMetrics(tally.NoopScope), conns: make(map[*conn]struct{})}
@@ -84,6 +95,8 @@
 		behind:      m.Counter("requests_behind"),
 		held:        m.Counter("reads_held"),
 		malformed:   m.Counter("malformed"),
+		dropped:     m.Counter("connections_refused"),
+		shed:        m.Counter("idle_closed"),
 	}
 }
 
@@ -121,15 +134,24 @@
 	return s.stopped
 }
 
-// open serves a new connection.
+// open serves a new connection, or closes it if there are too many or their memory is used
+// up, and none of them can be closed instead.
 func (s *Server) open(nc net.Conn) {
 	c := newConn(s, nc)
+	if !s.admit(c) {
+		s.metrics.dropped.Inc(1)
+		c.owner.Close()
+		_ = nc.Close()
+		return
+	}
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.metrics.connections.Update(float64(len(s.conns)))
 	s.mu.Unlock()
 	go func() {
 		c.serve()
+		c.buffers.Release()
+		c.owner.Close()
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.conns, c)
@@ -137,6 +159,13 @@
 	}()
 }
 
+// Open returns the number of connections.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // Shutdown stops accepting connections, closes the idle ones and waits until all others
 // have ended. Requests that still arrive are handed to the handler, which should refuse
 // those that it can't finish in time. Shortly before the deadline of ctx, requests that
--- a/exch/exchange.go
+++ b/exch/exchange.go
@@ -116,10 +116,8 @@
 		return final
 	}
 	b := resp.BodyStream().(*body)
-	if data := b.x.bufferBody(b); data != nil {
-		resp.SetBodyRaw(data)
-		resp.Header.SetContentLength(len(data))
-	}
+	size := resp.Header.ContentLength()
+	b.x.setBody(resp, b, size)
 	return final
 }
 
@@ -335,29 +333,10 @@
 // readUnframed reads a response that ends when the target closes the connection.
 func (x *exchange) readUnframed(resp *fasthttp.Response) Outcome {
 	x.out.Unframed = true
-	if data := x.bufferBody(&body{x: x}); data != nil {
-		resp.SetBodyRaw(data)
-		resp.Header.SetContentLength(len(data))
-	}
+	x.setBody(resp, &body{x: x}, -1)
 	return x.out
 }
 
-// bufferBody reads a body into memory and ends the exchange. It returns nil on
-// failure.
-func (x *exchange) bufferBody(b *body) []byte {
-	limit := x.client.maxBuffered
-	x.conn.bodyDeadline = x.deadline
-	data, err := io.ReadAll(io.LimitReader(b, int64(limit)+1))
-	if err == nil && len(data) > limit {
-		x.abort(fault.New(fault.KindLimited, "the response exceeds the "+strconv.Itoa(limit)+" bytes that are read into memory",
-			"let the target send a length or chunks"))
-	}
-	if x.out.Class != Complete {
-		return nil
-	}
-	return data
-}
-
 // finishShed ends an exchange whose request the target shed. The connection is kept if
 // the body is already buffered and responses name their request. Without that, a
 // refusal that the target writes once more would be taken for that of the next request.
--- /dev/null
+++ b/exch/room.go
@@ -0,0 +1,115 @@
+package exch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"rhubarbdrift.example/budget"
+	"rhubarbdrift.example/fault"
+)
+
+// roomRetry is how often a response that waits for room asks again although no bytes were
+// released: callers that make no progress may have become eligible for eviction.
+const roomRetry = 250 * time.Millisecond
+
+// errTooLarge is the cause of an exchange whose response exceeds the limit.
+var errTooLarge = errors.New("the response is too large")
+
+// errNoRoom is the cause of an exchange whose response found no room. This is no evidence
+// about the target, as if its reader had closed it.
+var errNoRoom = fmt.Errorf("this host is short of memory: %w", errAbandoned)
+
+// Room is the memory for the response of one exchange by Do. Until there is room, the
+// response is not read from the target.
+type Room struct {
+	Memory *budget.Holder
+	Body   budget.Segments // the body, which resp does not contain then
+}
+
+// roomKey is the key of the *Room in the context of an exchange.
+type roomKey struct{}
+
+// WithRoom returns the context of one exchange whose response is read into the room.
+func WithRoom(ctx context.Context, r *Room) context.Context {
+	return context.WithValue(ctx, roomKey{}, r)
+}
+
+// reserve waits until n bytes are reserved or ctx ends.
+func (r *Room) reserve(ctx context.Context, n int64) error {
+	if r == nil {
+		return nil
+	}
+	if _, ok := r.Memory.Reserve(time.Now(), n); ok {
+		return nil
+	}
+	for {
+		freed := r.Memory.Freed() // before the reservation, so that no release is missed
+		if _, ok := r.Memory.Reserve(time.Now(), n); ok {
+			return nil
+		}
+		retry := time.NewTimer(roomRetry)
+		select {
+		case <-freed:
+			retry.Stop()
+		case <-retry.C:
+		case <-ctx.Done():
+			retry.Stop()
+			return errNoRoom
+		}
+	}
+}
+
+// setBody reads a body of a size, which is negative if unknown, into memory and ends the
+// exchange. The body goes to the Room of the exchange if there is one, else to resp.
+func (x *exchange) setBody(resp *fasthttp.Response, b *body, size int) {
+	room, _ := x.ctx.Value(roomKey{}).(*Room)
+	data, ok := x.bufferBody(b, room, size)
+	switch {
+	case !ok:
+		return
+	case room != nil:
+		room.Body = data
+		resp.ResetBody()
+	default:
+		joined := make([]byte, 0, data.Len())
+		for _, part := range data.Parts() {
+			joined = append(joined, part...)
+		}
+		resp.SetBodyRaw(joined)
+	}
+	resp.Header.SetContentLength(int(data.Len()))
+}
+
+// bufferBody reads a body of a size, which is negative if unknown, into memory and ends the
+// exchange. It returns false on failure.
+func (x *exchange) bufferBody(b *body, room *Room, size int) (data budget.Segments, ok bool) {
+	limit := x.client.maxBuffered
+	x.conn.bodyDeadline = x.deadline
+	known := int64(max(size, -1))
+	var err error
+	switch {
+	case size > limit:
+		err = errTooLarge
+	case size >= 0:
+		err = room.reserve(x.ctx, int64(size))
+	}
+	if err == nil {
+		data, err = budget.ReadAll(b, known, int64(limit), func(n int64) error { return room.reserve(x.ctx, n) }, func(time.Time, int) {})
+	}
+	if err == nil && data.Len() > int64(limit) {
+		err = errTooLarge
+	}
+	switch {
+	case errors.Is(err, errTooLarge):
+		x.abort(fault.New(fault.KindLimited, "the response exceeds the "+strconv.Itoa(limit)+" bytes that are read into memory",
+			"let the target send a length or chunks"))
+	case err != nil:
+		x.abort(err)
+	}
+	return data, x.out.Class == Complete
+}
