place: use targets of the host's own failure domain first

With the option WithNearFirst, a host compares the targets of a subset of four of its own failure domain, and goes to others of the domain, the region and other regions only while the pooled load of the nearer ones leaves no room or the best one has no free slot or looks unhealthy. The subsets come from package subset and the hosts of the domain, so each target has about the same number of users.

The share of a pool's requests that stays in a tier is the integral of the difference between the use of its slots and the larger of 0.7 and the use of the farther tiers.

When the pool is full, only four near and two other targets are compared.

Without the option nothing changes.

--- a/place/balancer.go
+++ b/place/balancer.go
@@ -28,6 +28,7 @@
 	// share of targets' limits that it uses.
 	fleetShare   float64
 	reportDemand DemandReport
+	near         *nearFirst // nil: near targets are not used first
 }
 
 // DemandReport reports to the other daemons that a request of this one would have used a
@@ -46,6 +47,15 @@
 	targets  []*Target
 	baseline health.Baseline
 	requests requestRate
+
+	// Used with WithNearFirst only.
+	members      uint64                  // hash of the targets for which subset was computed; 0: none
+	subset       map[model.TargetID]bool // targets that this host uses first in their tier
+	stateUpdated time.Time               // when usualRisk and kept were computed
+	usualRisk    float64                 // risk of failure that a fifth of the targets is below
+	full         bool                    // the slots of all usable targets are in use
+	kept         [TierCount]float64      // share of the requests that reach a tier and are kept in it
+	spilling     bool                    // as in SpillChange
 }
 
 // requestRate is an average of the requests per second that all reachable daemons send.
@@ -114,9 +124,11 @@
 	targets := make(map[model.TargetID]*Target)
 	pools := make(map[model.PoolID]*pool)
 	for id, list := range instances {
-		p := &pool{}
+		p := &pool{kept: [TierCount]float64{1, 1, 1}}
 		if old := b.pools[id]; old != nil {
 			p.baseline, p.requests = old.baseline, old.requests
+			p.members, p.subset = old.members, old.subset
+			p.stateUpdated, p.usualRisk, p.full, p.kept, p.spilling = old.stateUpdated, old.usualRisk, old.full, old.kept, old.spilling
 		}
 		for _, instance := range list {
 			t := b.targets[instance.ID]
@@ -131,6 +143,7 @@
 			targets[instance.ID] = t
 			p.targets = append(p.targets, t)
 		}
+		b.updateSubsets(p)
 		pools[id] = p
 	}
 	b.targets, b.pools = targets, pools
--- a/place/choose.go
+++ b/place/choose.go
@@ -125,15 +125,20 @@
 		wanted = append(wanted, t.ID)
 		return t.announced.pacer.Admit(now, r.Urgent, possible, float64(random(limitChances))/limitChances)
 	}
-	if t := sampleIdle(now, slices.Concat(unlimited.local, limited.local), r, random); t != nil && admits(t) {
+	probed := b.probed(now, p, slices.Concat(unlimited.local, limited.local))
+	if t := sampleIdle(now, probed, r, random); t != nil && admits(t) {
 		return t, wanted
 	}
 	best := candidate{cost: math.Inf(1)}
-	if list := b.byCost(now, unlimited.take(random), r); len(list) > 0 {
+	list, near := b.candidates(now, p, unlimited, r, random)
+	if len(list) > 0 {
 		best = list[0]
 	}
 	for asked := 0; asked < maxLimitedTargets && limited.size() > 0; {
 		for _, c := range b.byCost(now, limited.take(random), r) {
+			if near && b.tierOf(c.target) != OwnDomain {
+				continue
+			}
 			if c.cost < best.cost && admits(c.target) {
 				return c.target, wanted
 			}
@@ -214,9 +219,22 @@
 	return list[:count:count]
 }
 
-// cost returns the expected cost in seconds of sending the request to the target. The
-// risk of a failure is the greater one of two: that from all daemons' exchanges, and
-// that from this daemon's own connection failures, which is 0 without observations.
+// risk returns the probability that the target fails the next request: the greater one of
+// that from all daemons' exchanges, and that from this daemon's own connection failures,
+// which is 0 without observations.
+func (t *Target) risk(now time.Time) float64 {
+	return max(t.exchangeHealth.FailureProbability(now), t.reachability.UnhealthyProbability(now)-health.SteadyState)
+}
+
+// failureCost returns the cost in seconds of a failure of the request.
+func failureCost(r Request) float64 {
+	if r.Repeatable {
+		return safeFailureCost
+	}
+	return unsafeFailureCost
+}
+
+// cost returns the expected cost in seconds of sending the request to the target.
 func (b *Balancer) cost(now time.Time, t *Target, r Request) float64 {
 	load := t.estimatedLoad(now)
 	slots := float64(max(t.Slots, 1))
@@ -227,13 +245,7 @@
 	// Up to its number of slots, a target slows down only slightly with load: by 30%
 	// if all are in use. Beyond it, requests are queued until others end.
 	c := work * (1 + 0.3*load/slots + max(0, load+1-slots)/slots)
-	risk := t.exchangeHealth.FailureProbability(now)
-	risk = max(risk, t.reachability.UnhealthyProbability(now)-health.SteadyState)
-	if r.Repeatable {
-		c += safeFailureCost * risk
-	} else {
-		c += unsafeFailureCost * risk
-	}
+	c += failureCost(r) * t.risk(now)
 	switch {
 	case t.Region != b.location.Region:
 		c += regionRoundTrip + regionCostPerByte*r.Bytes
--- a/place/doc.go
+++ b/place/doc.go
@@ -10,6 +10,9 @@
 // succeeded. Only a few random candidates are compared, so that the daemons don't
 // all select the same target.
 //
+// With WithNearFirst, the candidates are a few targets of the host's own failure domain,
+// and others only while these have no room or look unhealthy; see docs/design/near.md.
+//
 // # Usage
 //
 //	balancer := place.NewBalancer(place.Location{Region: "north", Domain: "north-a"})
