entry, platform: near targets first under the contract pressure

The host passes the hosts of its failure domain to the balancer, logs when a pool begins or ceases to spill over, and counts sends by the distance of the target.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -112,9 +112,11 @@
 // build creates the components and connects them.
 func (e *Entry) build() {
 	s, names := e.settings, e.adapter.ObjectNames()
-	e.balancer = place.NewBalancer(place.Location{Region: s.Region, Domain: s.Domain}, place.WithDemandReport(func(id model.TargetID, urgent bool) {
-		reporter{e.node}.reportDemand(id, urgent)
-	}))
+	placing := []place.Option{place.WithDemandReport(func(id model.TargetID, urgent bool) { reporter{e.node}.reportDemand(id, urgent) })}
+	if s.PreferNear {
+		placing = append(placing, place.WithNearFirst(s.Host))
+	}
+	e.balancer = place.NewBalancer(place.Location{Region: s.Region, Domain: s.Domain}, placing...)
 	e.targets = watch.NewTargets(e.client(targetWait), names.Targets, e.adapter, func(set watch.TargetSet) { e.balancer.Update(time.Now(), set) },
 		func() time.Duration { return e.config.Age() }, func() bool { return e.config.StoreAnswers() }, watch.WithLog(e.log), watch.WithMeter(e.meter.Scope()))
 	e.config = watch.NewConfigFollower(e.client(configWait), names.Config, names.ConfigName, e.adapter, e.holder, e.targets, watch.WithLog(e.log), watch.WithMeter(e.meter.Scope()))
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -36,6 +36,8 @@
 	CallerRequests int // requests of one connection that are worked on at the same time; 0: DefaultCallerRequests
 	CallerBytes    int // size in bytes of these requests and of their responses that wait; 0: DefaultCallerBytes
 
+	PreferNear bool // targets of the host's own failure domain are used first, then those of its region
+
 	LimitWindow    time.Duration // in which requests are counted against customers' limits
 	LimitOvershoot float64       // share of a limit by which it may be exceeded
 	LimitSlack     float64       // requests by which a limit may be exceeded in addition to LimitOvershoot
--- a/entry/share.go
+++ b/entry/share.go
@@ -171,6 +171,7 @@
 		case <-t.C:
 		}
 		e.pauses.Confirm()
+		e.updateNear()
 		known := len(e.hosts.All())
 		if known == 0 || e.holder.Current() == nil {
 			continue // reports of customers are dropped before there is a configuration
@@ -184,3 +185,21 @@
 		e.shareKnown.Store(true)
 	}
 }
+
+// updateNear tells the balancer which hosts share the targets of this host's failure domain,
+// and logs which pools spill over to others.
+func (e *Entry) updateNear() {
+	if !e.settings.PreferNear {
+		return
+	}
+	var near []model.HostID
+	for _, h := range e.hosts.All() {
+		if h.Domain == e.settings.Domain {
+			near = append(near, h.ID)
+		}
+	}
+	e.balancer.SetDomainHosts(near)
+	for _, c := range e.balancer.SpillChanges() {
+		e.log.Info().Str("pool", string(c.Pool)).Bool("spilling", c.Spilling).Float64("kept", c.Kept).Msg("use of near targets changed")
+	}
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -91,6 +91,7 @@
 type proxyMetrics struct {
 	scope   tally.Scope
 	retries tally.Counter
+	sends   [place.TierCount]tally.Counter // by the distance of the target
 	latency tally.Histogram
 	running tally.Gauge
 }
@@ -123,8 +124,13 @@
 
 func newMetrics(s tally.Scope) proxyMetrics {
 	s = s.SubScope("proxy")
+	var sends [place.TierCount]tally.Counter
+	for tier := range place.TierCount {
+		sends[tier] = s.Tagged(map[string]string{"distance": tier.String()}).Counter("sends")
+	}
 	return proxyMetrics{
 		scope:   s,
+		sends:   sends,
 		retries: s.Counter("retries"),
 		latency: s.Histogram("latency", tally.MustMakeExponentialDurationBuckets(latencyFirst, 2, latencyCount)),
 		running: s.Gauge("running"),
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -118,6 +118,7 @@
 		return refusal(refuse.New(refuse.KindBusy, refuse.NotRun, "no target of the pool takes requests", "retry later"), d.returnDelay())
 	}
 	d.tried = append(d.tried, t.ID)
+	d.proxy.metrics.sends[t.Tier()].Inc(1)
 	d.inFlight++
 	s := &sendAttempt{target: t, targetResp: new(fasthttp.Response)}
 	go func() {
