place: ChooseSpare, a target for a send that can also be left out

It returns only targets with a free slot that are neither suspected, cold nor limited, and the load of the pool's usable targets as a share of their slots.

--- /dev/null
+++ b/place/spare.go
@@ -0,0 +1,50 @@
+package place
+
+import (
+	"slices"
+	"time"
+)
+
+// suspectRisk is the risk of failure above that of the pool's median target from which on
+// a target is suspected: one failure raises that of a target with recent responses by
+// about 0.4, and a target without any is 0.09 above one with them.
+const suspectRisk = 0.1
+
+// ChooseSpare is Choose for a request that can also go without another send. It returns
+// the use of the slots of the pool's usable targets, and only a target that has a free
+// slot, is not suspected of being unhealthy, is not cold and has no limit; nil if there is
+// none.
+func (b *Balancer) ChooseSpare(now time.Time, r Request, random func(int) int) (chosen *Target, use float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := b.pools[r.Pool]
+	if p == nil {
+		return nil, 0
+	}
+	all := r
+	all.Tried = nil
+	_, usable := b.eligible(now, p, all)
+	var load, slots float64
+	risks := make([]float64, 0, len(p.targets))
+	var spare targets
+	for _, t := range slices.Concat(usable.local, usable.remote) {
+		load += t.estimatedLoad(now)
+		slots += float64(max(t.Slots, 1))
+		risks = append(risks, t.risk(now))
+	}
+	if len(risks) == 0 {
+		return nil, 0
+	}
+	slices.Sort(risks)
+	median := risks[len(risks)/2]
+	for _, t := range slices.Concat(usable.local, usable.remote) {
+		cold := now.Sub(t.firstSeen) < t.WarmUp.Duration()
+		if !cold && !slices.Contains(r.Tried, t.ID) && t.estimatedLoad(now)+1 <= float64(t.Slots) && t.risk(now)-median < suspectRisk {
+			spare.add(t, b.location.Region)
+		}
+	}
+	if list, _ := b.candidates(now, p, spare, r, random); len(list) > 0 {
+		chosen = list[0].target
+	}
+	return chosen, load / slots
+}
