proxy, entry, platform, mesh: hedged requests within a share

Hosts report wanted and sent hedged requests in the counters of a pool. Within a share, the losing exchange is cancelled 5 ms after the response, and counts as slow if it was sent first. Metrics count hedged requests sent, won and refused by reason; a line tells when hedging of a pool turns off or on.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 	"rhubarbdrift.example/clock"
 	"rhubarbdrift.example/conf"
 	"rhubarbdrift.example/exch"
+	"rhubarbdrift.example/hedge"
 	"rhubarbdrift.example/kernel"
 	"rhubarbdrift.example/limit"
 	"rhubarbdrift.example/mesh"
@@ -80,6 +81,7 @@
 	hosts      *watch.Hosts
 	limits     *limit.Set
 	pauses     *limit.PauseGuard
+	hedges     *hedge.Set // nil without Settings.Hedging
 	node       *mesh.Node
 	exchange   *exch.Client
 	proxy      *proxy.Proxy
@@ -125,6 +127,9 @@
 	e.limits = limit.NewSet(time.Now(), limit.Allowance{Ratio: s.RetryRatio, Reserve: s.RetryReserve},
 		limit.Tolerance{Window: s.LimitWindow, Share: s.LimitOvershoot, Slack: s.LimitSlack}, reporter{e.node})
 	e.pauses = limit.NewPauseGuard(clock.SinceBoot, e.limitAfterPause)
+	if s.Hedging != nil {
+		e.hedges = hedge.NewSet(*s.Hedging, reporter{e.node}.reportHedge)
+	}
 	e.exchange = exch.New(exch.WithHeaders(e.adapter.Headers()), exch.WithConnectTimeout(connectTimeout), exch.WithIdleTimeout(idleTimeout),
 		exch.WithMaxBuffered(maxAnswerBytes), exch.WithMaxConnections(maxTargetConnections))
 	e.proxy = proxy.New(proxy.Dependencies{
@@ -135,6 +140,7 @@
 		Limiter:           guardedLimits{Set: e.limits, pauses: e.pauses},
 		Balancer:          e.balancer,
 		Exchange:          e.exchange,
+		Hedges:            e.hedges,
 		ReportObservation: reporter{e.node}.reportExchange,
 		ReportRequests:    reporter{e.node}.reportRequests,
 		ReportLeaving:     reporter{e.node}.reportLeaving,
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -7,6 +7,7 @@
 
 	"rhubarbdrift.example/exch"
 	"rhubarbdrift.example/fault"
+	"rhubarbdrift.example/hedge"
 	"rhubarbdrift.example/mesh"
 	"rhubarbdrift.example/model"
 	"rhubarbdrift.example/proxy"
@@ -36,6 +37,8 @@
 	CallerRequests int // requests of one connection that are worked on at the same time; 0: DefaultCallerRequests
 	CallerBytes    int // size in bytes of these requests and of their responses that wait; 0: DefaultCallerBytes
 
+	Hedging *hedge.Policy // nil: repeatable requests are hedged at 0.9 of the route's objective, without a share
+
 	PreferNear bool // targets of the host's own failure domain are used first, then those of its region
 
 	LimitWindow    time.Duration // in which requests are counted against customers' limits
@@ -69,6 +72,11 @@
 	if s.KeyRevocationLimit <= 0 || s.Grace <= 0 {
 		return fault.Invalid("bounds", "the lifetime of withdrawn keys or the grace period of a planned stop is not positive", "set both to more than 0")
 	}
+	if s.Hedging != nil {
+		if err := s.Hedging.Check(); err != nil {
+			return err
+		}
+	}
 	return s.checkLimits()
 }
 
--- a/entry/share.go
+++ b/entry/share.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rhubarbdrift.example/health"
+	"rhubarbdrift.example/hedge"
 	"rhubarbdrift.example/limit"
 	"rhubarbdrift.example/mesh"
 	"rhubarbdrift.example/model"
@@ -24,6 +25,15 @@
 	r.node.Report(func(s *mesh.Sum) { s.AddPool(id, mesh.Usage{Requests: requests, Granted: retries}) })
 }
 
+// reportHedge reports a wanted hedged request to a pool, and whether it was sent.
+func (r reporter) reportHedge(id model.PoolID, sent bool) {
+	u := mesh.Usage{Wanted: 1}
+	if sent {
+		u.Hedged = 1
+	}
+	r.node.Report(func(s *mesh.Sum) { s.AddPool(id, u) })
+}
+
 // reportExchange reports the outcome of an exchange with a target, and the load
 // that the target reported; a negative load is unknown. Package mesh counts a known
 // load plus one.
@@ -107,6 +117,9 @@
 	}
 	for id, u := range s.Pools {
 		e.limits.AddRemotePool(id, limit.Usage{Requests: float64(u.Requests), Granted: float64(u.Granted)})
+		if e.hedges != nil {
+			e.hedges.AddRemote(now, id, hedge.Usage{Requests: float64(u.Requests), Hedged: float64(u.Hedged), Wanted: float64(u.Wanted)})
+		}
 	}
 }
 
--- a/mesh/sum.go
+++ b/mesh/sum.go
@@ -60,6 +60,11 @@
 type Usage struct {
 	Requests uint32 `cbor:"1,keyasint,omitempty"` // requests, whether admitted or not
 	Granted  uint32 `cbor:"2,keyasint,omitempty"` // admitted requests of a customer, or retries to a pool
+	// Hedged counts those retries that were sent while another send was in flight, and
+	// Wanted those that were wanted, whether sent or not. Both are of pools with a share
+	// of hedged requests.
+	Hedged uint32 `cbor:"3,keyasint,omitempty"`
+	Wanted uint32 `cbor:"4,keyasint,omitempty"`
 }
 
 // Sum is the aggregated report of a part of the fleet since the previous message.
@@ -136,7 +141,7 @@
 		m = make(map[K]Usage)
 	}
 	old := m[id]
-	m[id] = Usage{Requests: old.Requests + u.Requests, Granted: old.Granted + u.Granted}
+	m[id] = Usage{Requests: old.Requests + u.Requests, Granted: old.Granted + u.Granted, Hedged: old.Hedged + u.Hedged, Wanted: old.Wanted + u.Wanted}
 	return m
 }
 
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -14,6 +14,7 @@
 	"rhubarbdrift.example/conf"
 	"rhubarbdrift.example/exch"
 	"rhubarbdrift.example/health"
+	"rhubarbdrift.example/hedge"
 	"rhubarbdrift.example/model"
 	"rhubarbdrift.example/place"
 )
@@ -64,6 +65,9 @@
 	Limiter   Limiter
 	Balancer  *place.Balancer
 	Exchange  Exchanger
+	// Hedges decides on hedged requests; nil: they are sent at slowShare of the objective,
+	// within the retry budget.
+	Hedges *hedge.Set
 	// ReportObservation reports an observation to the other daemons. A negative load is unknown.
 	ReportObservation func(id model.TargetID, s health.Observation, load float64)
 	// ReportRequests reports to them the numbers of requests sent to a target and ended there.
@@ -91,7 +95,9 @@
 type proxyMetrics struct {
 	scope   tally.Scope
 	retries tally.Counter
-	sends   [place.TierCount]tally.Counter // by the distance of the target
+	sends   [place.TierCount]tally.Counter    // by the distance of the target
+	hedges  [hedge.RefusalCount]tally.Counter // decisions; those of hedge.Allowed were sent
+	won     tally.Counter                     // hedged requests whose response was delivered
 	latency tally.Histogram
 	running tally.Gauge
 }
@@ -128,9 +134,19 @@
 	for tier := range place.TierCount {
 		sends[tier] = s.Tagged(map[string]string{"distance": tier.String()}).Counter("sends")
 	}
+	var hedges [hedge.RefusalCount]tally.Counter
+	for r := range hedge.RefusalCount {
+		if r == hedge.Allowed {
+			hedges[r] = s.Counter("hedges_sent")
+		} else {
+			hedges[r] = s.Tagged(map[string]string{"reason": r.String()}).Counter("hedges_refused")
+		}
+	}
 	return proxyMetrics{
 		scope:   s,
 		sends:   sends,
+		hedges:  hedges,
+		won:     s.Counter("hedges_won"),
 		retries: s.Counter("retries"),
 		latency: s.Histogram("latency", tally.MustMakeExponentialDurationBuckets(latencyFirst, 2, latencyCount)),
 		running: s.Gauge("running"),
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -15,6 +15,7 @@
 	"rhubarbdrift.example/exch"
 	"rhubarbdrift.example/header"
 	"rhubarbdrift.example/health"
+	"rhubarbdrift.example/hedge"
 	"rhubarbdrift.example/place"
 	"rhubarbdrift.example/refuse"
 )
@@ -33,6 +34,8 @@
 	out        exch.Outcome
 	targetResp *fasthttp.Response
 	slow       atomic.Bool
+	number     int32 // of the send within its call, from 1
+	hedged     bool  // it was sent while another was in flight
 }
 
 // dispatch is the state of a call's exchanges.
@@ -43,9 +46,10 @@
 	bytes    float64           // usual size of the request and its response together
 	results  chan *sendAttempt // ended exchanges; has room for all of a call
 	inFlight int
-	fallback *response // a target's error response, returned if no other target succeeds
-	refused  bool      // a target refused the request because it had no free slot
-	timedOut bool      // the exchange that ended last, or one at the deadline, got no response in time
+	fallback *response    // a target's error response, returned if no other target succeeds
+	refused  bool         // a target refused the request because it had no free slot
+	winner   atomic.Int32 // number of the send whose response was delivered; 0: none
+	timedOut bool         // the exchange that ended last, or one at the deadline, got no response in time
 }
 
 // run sends the request until there is a final response.
@@ -54,16 +58,22 @@
 	seconds, bytes := c.proxy.requestStats.get(c.route)
 	d := &dispatch{call: c, ctx: ctx, seconds: seconds, bytes: bytes, results: make(chan *sendAttempt, maxTriedTargets+1)}
 	c.proxy.deps.Limiter.CountRequest(c.pool)
+	if h := c.proxy.deps.Hedges; h != nil {
+		h.CountRequests(c.pool, 1)
+	}
 	resp := d.loop()
 	if d.inFlight == 0 || resp == nil || ctx.Err() != nil || d.proxy.hasStopped() {
 		cancel()
 		return resp
 	}
-	// Lets the other exchange of a hedged request finish, since its target already
-	// works on it.
+	// Without Hedges, the other exchange of a hedged request goes on, since its target
+	// already works on it.
 	stop()
 	go func() {
 		defer cancel()
+		if d.proxy.deps.Hedges != nil {
+			defer time.AfterFunc(settleTime, cancel).Stop()
+		}
 		for range d.inFlight {
 			<-d.results
 		}
@@ -71,11 +81,18 @@
 	return resp
 }
 
+// settleTime is the time in which the losing exchange of a hedged request may end by itself.
+// After it, the exchange is cancelled and its connection closed. A new connection to a target
+// in another failure domain of the region takes about as long.
+const settleTime = 5 * time.Millisecond
+
 func (d *dispatch) loop() *response {
 	if resp := d.sendNext(); resp != nil {
 		return resp
 	}
-	hedgeTimer := time.NewTimer(d.slowAfter())
+	bound := d.slowAfter()
+	delay := d.hedgeDelay(bound)
+	hedgeTimer := time.NewTimer(delay)
 	defer hedgeTimer.Stop()
 	for {
 		select {
@@ -85,7 +102,10 @@
 				return resp
 			}
 		case <-hedgeTimer.C:
-			d.hedge()
+			if d.hedge(delay >= bound) && delay < bound {
+				hedgeTimer.Reset(bound - delay)
+				delay = bound
+			}
 		case <-d.ctx.Done():
 			if d.request.Context().Err() != nil {
 				return nil
@@ -106,26 +126,35 @@
 	if resp := d.recheckKey(); resp != nil {
 		return d.refuseOrFinish(resp)
 	}
-	// A failure of the last send is final, so a repeatable request that was sent
-	// before is placed as carefully as one that must not be repeated.
-	mayRepeat := d.repeatable() && d.sends == 0
-	criteria := place.Request{Pool: d.pool, UsualSeconds: d.seconds, Bytes: d.bytes, Repeatable: mayRepeat, Urgent: d.urgent(), Tried: d.tried}
-	t, ok := d.proxy.deps.Balancer.Choose(time.Now(), criteria, rand.IntN)
+	t, ok := d.proxy.deps.Balancer.Choose(time.Now(), d.criteria(), rand.IntN)
 	if !ok {
 		if d.fallback != nil || d.mayHaveRun {
 			return d.finish()
 		}
 		return refusal(refuse.New(refuse.KindBusy, refuse.NotRun, "no target of the pool takes requests", "retry later"), d.returnDelay())
 	}
+	d.send(t)
+	return nil
+}
+
+// criteria returns what the next target is chosen by.
+func (d *dispatch) criteria() place.Request {
+	// A failure of the last send is final, so a repeatable request that was sent
+	// before is placed as carefully as one that must not be repeated.
+	mayRepeat := d.repeatable() && d.sends == 0
+	return place.Request{Pool: d.pool, UsualSeconds: d.seconds, Bytes: d.bytes, Repeatable: mayRepeat, Urgent: d.urgent(), Tried: d.tried}
+}
+
+// send starts an exchange with the target.
+func (d *dispatch) send(t *place.Target) {
 	d.tried = append(d.tried, t.ID)
 	d.proxy.metrics.sends[t.Tier()].Inc(1)
+	s := &sendAttempt{target: t, targetResp: new(fasthttp.Response), number: int32(len(d.tried)), hedged: d.inFlight > 0}
 	d.inFlight++
-	s := &sendAttempt{target: t, targetResp: new(fasthttp.Response)}
 	go func() {
 		defer d.recoverExchange(s)
 		d.exchange(s)
 	}()
-	return nil
 }
 
 // recoverExchange ends an exchange that panicked, so that it does not end the process. The
@@ -209,6 +238,7 @@
 	s.out = do(d.ctx, &s.target.Target, req, s.targetResp)
 	slowTimer.Stop()
 	end()
+	d.recordLatency(s, time.Since(started))
 	d.recordAnnouncement(s.target, started, &s.out)
 	load, reported := d.proxy.deps.Protocol.ParseLoad(string(s.targetResp.Header.Peek(d.proxy.deps.Protocol.Load)))
 	if !reported {
@@ -285,6 +315,10 @@
 	next := decide(&s.out, d.repeatable())
 	switch next {
 	case deliver:
+		d.winner.Store(s.number)
+		if s.hedged {
+			d.proxy.metrics.won.Inc(1)
+		}
 		return d.targetResponse(s)
 	case resend:
 		d.refused = d.refused || s.out.Class == exch.Shed
@@ -331,18 +365,86 @@
 	return sendLimits{attempts: attempts, sends: d.sends + d.inFlight, tried: len(d.tried), remaining: time.Until(d.deadline), requestTime: d.usualTime()}
 }
 
-// hedge sends a repeatable request to a second target while the first one is slow.
-func (d *dispatch) hedge() {
-	if !d.repeatable() || d.inFlight != 1 || !d.sendLimits().allowed(false) {
-		return
+// hedge sends a repeatable request to a second target while the first one is slow. Late is
+// set once the bound of the delay has passed. It reports whether it may be asked again.
+func (d *dispatch) hedge(late bool) (again bool) {
+	if !d.repeatable() || d.inFlight != 1 {
+		return false
+	}
+	if d.proxy.deps.Hedges != nil {
+		return d.hedgeWithinShare(late)
+	}
+	if !d.sendLimits().allowed(false) {
+		return false
 	}
 	if d.sendLimits().remaining < d.usualTime() || !d.proxy.deps.Limiter.Retry(d.pool, hedgeReserve) {
-		return
+		return false
 	}
 	d.proxy.metrics.retries.Inc(1)
 	// If there is no other target, or the key was withdrawn, the first exchange goes
 	// on alone.
 	_ = d.sendNext()
+	return false
+}
+
+// hedgeWithinShare is hedge with a share of hedged requests. If the request is not hedged,
+// the first exchange goes on alone.
+func (d *dispatch) hedgeWithinShare(late bool) (again bool) {
+	hedges := d.proxy.deps.Hedges
+	if !hedges.Enabled() {
+		return false
+	}
+	if d.recheckKey() != nil {
+		d.proxy.metrics.hedges[hedge.KeyRefused].Inc(1)
+		return false
+	}
+	limits := d.sendLimits()
+	facts := hedge.Facts{AttemptsLeft: limits.allowed(false), TimeLeft: limits.remaining >= d.usualTime(), Late: late}
+	var target *place.Target
+	if facts.AttemptsLeft && facts.TimeLeft {
+		criteria := d.criteria()
+		criteria.Repeatable = false // it is placed carefully, as the last one
+		target, facts.Use = d.proxy.deps.Balancer.ChooseSpare(time.Now(), criteria, rand.IntN)
+		facts.Target = target != nil
+	}
+	decision := hedges.Decide(time.Now(), d.pool, facts, rand.Float64(), func() bool { return d.proxy.deps.Limiter.Retry(d.pool, hedgeReserve) })
+	d.proxy.metrics.hedges[decision.Refusal].Inc(1)
+	if decision.Changed {
+		d.proxy.log.Info().Str("pool", string(d.pool)).Bool("active", decision.Active).Float64("use", facts.Use).Msg("hedging changed")
+	}
+	if decision.Refusal != hedge.Allowed {
+		return true
+	}
+	d.proxy.metrics.retries.Inc(1)
+	d.send(target)
+	return false
+}
+
+// hedgeDelay returns the time after which a second send is considered, at most the bound.
+func (d *dispatch) hedgeDelay(bound time.Duration) time.Duration {
+	if h := d.proxy.deps.Hedges; h != nil {
+		return h.Delay(time.Now(), d.latencyKey(), bound)
+	}
+	return bound
+}
+
+func (d *dispatch) latencyKey() hedge.Key { return hedge.Key{Route: d.route.ID, Pool: d.pool} }
+
+// recordLatency records the latency of a send for the delay of later hedged requests. A send
+// that lost to a later one counts as slow: it took longer than most of the route's requests
+// and was cancelled before its own slowness was noted.
+func (d *dispatch) recordLatency(s *sendAttempt, elapsed time.Duration) {
+	h := d.proxy.deps.Hedges
+	if h == nil || !d.repeatable() {
+		return
+	}
+	lost := s.out.Canceled && s.number < d.winner.Load()
+	if lost || s.out.Class == exch.Complete || s.out.Class == exch.NoResponse && !s.out.Canceled {
+		h.Record(time.Now(), d.latencyKey(), elapsed)
+	}
+	if lost && s.slow.CompareAndSwap(false, true) {
+		d.recordObservation(s.target, health.Slow, -1, &s.out)
+	}
 }
 
 // finishAtDeadline returns the response at the deadline.
