place: the use of near targets counts what eligible returns

The pooled load of a tier tested the conditions of a usable target itself. It now asks eligible, so a new condition there (an evacuated domain, say) also takes the target's slots out of the capacity of its tier.

--- a/place/near.go
+++ b/place/near.go
@@ -277,8 +277,10 @@
 		return
 	}
 	p.stateUpdated = now
-	risks := make([]float64, len(p.targets))
-	for i, t := range p.targets {
+	_, eligible := b.eligible(now, p, Request{})
+	usable := slices.Concat(eligible.local, eligible.remote)
+	risks := make([]float64, len(usable))
+	for i, t := range usable {
 		risks[i] = t.risk(now)
 	}
 	sorted := slices.Sorted(slices.Values(risks))
@@ -286,8 +288,8 @@
 		p.usualRisk = sorted[(len(sorted)-1)/usualRiskDivisor]
 	}
 	var load, slots [TierCount]float64
-	for i, t := range p.targets {
-		if t.acceptsRequests(now) && t.announced.pacer == nil && risks[i]-p.usualRisk <= excludedRisk {
+	for i, t := range usable {
+		if risks[i]-p.usualRisk <= excludedRisk {
 			d := b.tierOf(t)
 			load[d] += t.estimatedLoad(now)
 			slots[d] += float64(max(t.Slots, 1))
