--- a/entry/entry.go
+++ b/entry/entry.go
@@ -14,6 +14,7 @@
 	"rhubarbdrift.example/clock"
 	"rhubarbdrift.example/conf"
 	"rhubarbdrift.example/exch"
+	"rhubarbdrift.example/hedge"
 	"rhubarbdrift.example/kernel"
 	"rhubarbdrift.example/limit"
 	"rhubarbdrift.example/mesh"
@@ -87,6 +88,7 @@
 	evacuations  *watch.Evacuations // nil if the settings name no bound for evacuations
 	limits       *limit.Set
 	pauses       *limit.PauseGuard
+	hedges       *hedge.Set // nil without Settings.Hedging
 	node         *mesh.Node
 	exchange     *exch.Client
 	proxy        *proxy.Proxy
@@ -129,6 +131,9 @@
 	if s.EvacuationBound > 0 {
 		options = append(options, place.WithEvacuations())
 	}
+	if s.PreferNear {
+		options = append(options, place.WithNearFirst(s.Host))
+	}
 	e.balancer = place.NewBalancer(place.Location{Region: s.Region, Domain: s.Domain}, options...)
 	e.targets = watch.NewTargets(e.client(targetWait), names.Targets, e.adapter, func(set watch.TargetSet) { e.balancer.Update(time.Now(), set) },
 		func() time.Duration { return e.config.Age() }, func() bool { return e.config.StoreAnswers() }, watch.WithLog(e.log), watch.WithMeter(e.meter.Scope()))
@@ -144,6 +149,9 @@
 	e.limits = limit.NewSet(time.Now(), limit.Allowance{Ratio: s.RetryRatio, Reserve: s.RetryReserve},
 		limit.Tolerance{Window: s.LimitWindow, Share: s.LimitOvershoot, Slack: s.LimitSlack}, reporter{e.node})
 	e.pauses = limit.NewPauseGuard(clock.SinceBoot, e.afterPause)
+	if s.Hedging != nil {
+		e.hedges = hedge.NewSet(*s.Hedging, reporter{e.node}.reportHedge)
+	}
 	e.exchange = exch.New(exch.WithHeaders(e.adapter.Headers()), exch.WithConnectTimeout(connectTimeout), exch.WithIdleTimeout(idleTimeout),
 		exch.WithMaxBuffered(maxAnswerBytes), exch.WithMaxConnections(maxTargetConnections), exch.WithMaxOpen(e.targetConnections))
 	e.proxy = proxy.New(proxy.Dependencies{
@@ -154,6 +162,7 @@
 		Limiter:           guardedLimits{Set: e.limits, pauses: e.pauses},
 		Balancer:          e.balancer,
 		Exchange:          e.exchange,
+		Hedges:            e.hedges,
 		ReportObservation: reporter{e.node}.reportExchange,
 		ReportRequests:    reporter{e.node}.reportRequests,
 		ReportLeaving:     reporter{e.node}.reportLeaving,
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -7,6 +7,7 @@
 
 	"rhubarbdrift.example/exch"
 	"rhubarbdrift.example/fault"
+	"rhubarbdrift.example/hedge"
 	"rhubarbdrift.example/mesh"
 	"rhubarbdrift.example/model"
 	"rhubarbdrift.example/proxy"
@@ -41,6 +42,10 @@
 	HeldBytes         int64 // bytes held for callers; 0: follows from Memory
 	CallerConnections int   // connections of callers; 0: follows from Memory and Descriptors
 
+	Hedging *hedge.Policy // nil: repeatable requests are hedged at 0.9 of the route's objective, without a share
+
+	PreferNear bool // targets of the host's own failure domain are used first, then those of its region
+
 	LimitWindow    time.Duration // in which requests are counted against customers' limits
 	LimitOvershoot float64       // share of a limit by which it may be exceeded
 	LimitSlack     float64       // requests by which a limit may be exceeded in addition to LimitOvershoot
@@ -87,6 +92,11 @@
 	if s.EvacuationBound < 0 {
 		return fault.Invalid("bounds", "the time for an evacuation is negative", "set it to more than 0, or leave it out")
 	}
+	if s.Hedging != nil {
+		if err := s.Hedging.Check(); err != nil {
+			return err
+		}
+	}
 	return s.checkLimits()
 }
 
--- a/entry/share.go
+++ b/entry/share.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rhubarbdrift.example/health"
+	"rhubarbdrift.example/hedge"
 	"rhubarbdrift.example/limit"
 	"rhubarbdrift.example/mesh"
 	"rhubarbdrift.example/model"
@@ -24,6 +25,15 @@
 	r.node.Report(func(s *mesh.Sum) { s.AddPool(id, mesh.Usage{Requests: requests, Granted: retries}) })
 }
 
+// reportHedge reports a wanted hedged request to a pool, and whether it was sent.
+func (r reporter) reportHedge(id model.PoolID, sent bool) {
+	u := mesh.Usage{Wanted: 1}
+	if sent {
+		u.Hedged = 1
+	}
+	r.node.Report(func(s *mesh.Sum) { s.AddPool(id, u) })
+}
+
 // reportExchange reports the outcome of an exchange with a target, and the load
 // that the target reported; a negative load is unknown. Package mesh counts a known
 // load plus one.
@@ -107,6 +117,9 @@
 	}
 	for id, u := range s.Pools {
 		e.limits.AddRemotePool(id, limit.Usage{Requests: float64(u.Requests), Granted: float64(u.Granted)})
+		if e.hedges != nil {
+			e.hedges.AddRemote(now, id, hedge.Usage{Requests: float64(u.Requests), Hedged: float64(u.Hedged), Wanted: float64(u.Wanted)})
+		}
 	}
 }
 
@@ -177,6 +190,7 @@
 		case <-t.C:
 		}
 		e.pauses.Confirm()
+		e.updateNear()
 		known := len(e.hosts.All())
 		if known == 0 || e.holder.Current() == nil {
 			continue // reports of customers are dropped before there is a configuration
@@ -190,3 +204,21 @@
 		e.shareKnown.Store(true)
 	}
 }
+
+// updateNear tells the balancer which hosts share the targets of this host's failure domain,
+// and logs which pools spill over to others.
+func (e *Entry) updateNear() {
+	if !e.settings.PreferNear {
+		return
+	}
+	var near []model.HostID
+	for _, h := range e.hosts.All() {
+		if h.Domain == e.settings.Domain {
+			near = append(near, h.ID)
+		}
+	}
+	e.balancer.SetDomainHosts(near)
+	for _, c := range e.balancer.SpillChanges() {
+		e.log.Info().Str("pool", string(c.Pool)).Bool("spilling", c.Spilling).Float64("kept", c.Kept).Msg("use of near targets changed")
+	}
+}
