model, platform: limits for cold targets, and the cold time of an entry

The services table may have warmup and coldPerS, which become Pool.WarmUp and Pool.ColdRate (nil: no limit). Instance.WarmUp, which was decoded from an entry's cold, is now Instance.Cold, with HasCold for an entry that names it and the revision of the entry, so that one that is written again is told from one that is listed again. Durations over 24 h, rates over 1e6/s, negative values and values of another type are errors of the entry or the configuration. The settings timers.bounds.coldOvershoot and coldSlack are optional.

--- a/entry/settings.go
+++ b/entry/settings.go
@@ -39,6 +39,11 @@
 	LimitWindow    time.Duration // in which requests are counted against customers' limits
 	LimitOvershoot float64       // share of a limit by which it may be exceeded
 	LimitSlack     float64       // requests by which a limit may be exceeded in addition to LimitOvershoot
+
+	// In any second a cold target receives at most the limit of its pool times ColdOvershoot,
+	// plus ColdSlack requests.
+	ColdOvershoot float64 // 0: 1
+	ColdSlack     float64
 }
 
 // Defaults of the limits on one connection of a caller.
@@ -47,6 +52,10 @@
 	DefaultCallerBytes    = 256 << 10
 )
 
+// maxColdTolerance bounds the tolerance for cold targets. A larger one is a mistake, and
+// would not limit anything.
+const maxColdTolerance = 1e6
+
 // Check returns an error of kind invalid for one of the invalid settings, or nil if
 // all are valid.
 func (s *Settings) Check() error {
@@ -78,6 +87,10 @@
 	if s.LimitWindow <= 0 || s.LimitOvershoot < 0 || s.LimitSlack < 0 {
 		return fault.Invalid("bounds", "the window of limits is not positive or their tolerance is negative", "set the window to more than 0 and the tolerance to 0 or more")
 	}
+	if !(s.ColdOvershoot == 0 || s.ColdOvershoot >= 1 && s.ColdOvershoot <= maxColdTolerance) || !(s.ColdSlack >= 0 && s.ColdSlack <= maxColdTolerance) {
+		return fault.Invalid("bounds", fmt.Sprintf("the tolerance for cold targets, %v times and %v requests, is out of range", s.ColdOvershoot, s.ColdSlack),
+			fmt.Sprintf("set the overshoot from 1 and the slack from 0, both to at most %v", maxColdTolerance))
+	}
 	if s.CallerRequests < 0 || s.CallerBytes < 0 {
 		return fault.Invalid("limits of a caller's connection", "the number or the size of its requests is negative", "set both to more than 0, or leave them out")
 	}
--- a/model/check.go
+++ b/model/check.go
@@ -157,6 +157,9 @@
 		if p.Floor < 0 || p.Floor > 1 {
 			return nil, fault.Invalid(field("pool", string(p.ID), "floor"), "must be between 0 and 1", "give the share of slots to keep")
 		}
+		if err := p.checkCold(); err != nil {
+			return nil, err
+		}
 		for _, t := range p.Targets {
 			if err := t.Check(); err != nil {
 				return nil, err
@@ -170,6 +173,18 @@
 	return seen, nil
 }
 
+// checkCold validates the limit for cold targets. The comparisons of the rate are false for
+// NaN.
+func (p *Pool) checkCold() error {
+	if p.WarmUp < 0 || p.WarmUp > MaxWarmUp {
+		return fault.Invalid(field("pool", string(p.ID), "warm-up"), fmt.Sprintf("%d ms is not from 0 to %d", p.WarmUp, MaxWarmUp), "set the time for which a target is cold after its start")
+	}
+	if p.ColdRate != nil && !(*p.ColdRate >= 0 && *p.ColdRate <= MaxColdRate) {
+		return fault.Invalid(field("pool", string(p.ID), "cold rate"), fmt.Sprintf("%v requests/s is not from 0 to %v", *p.ColdRate, MaxColdRate), "set the requests per second that a cold target can serve")
+	}
+	return nil
+}
+
 // Check validates the target and returns an error for the first invalid field.
 func (t *Target) Check() error {
 	if t.ID == "" {
@@ -191,18 +206,21 @@
 // largest integer.
 const maxSlots = 1 << 20
 
-// Bounds of an instance: its start lies between 1970 and 2200, and no target is slow for
-// longer than a day after its start.
+// maxStartedAt bounds the start of an instance, which lies between 1970 and 2200.
+const maxStartedAt = 7_258_118_400_000
+
+// MaxWarmUp is the longest time for which a target can be cold, and MaxColdRate the highest
+// rate, in requests per second, that can be set for cold targets.
 const (
-	maxStartedAt        = 7_258_118_400_000
-	maxWarmUp    Millis = 24 * 60 * 60 * 1000
+	MaxWarmUp   Millis = 24 * 60 * 60 * 1000
+	MaxColdRate Rate   = 1e6
 )
 
 // Check returns an error of package fault for a target that cannot be used, or whose
 // numbers are outside of what calculations with them allow.
 func (i *Instance) Check() error {
-	if i.WarmUp < 0 || i.WarmUp > maxWarmUp {
-		return fault.Invalid(field("target", string(i.ID), "slow phase"), fmt.Sprintf("%d ms is not from 0 to %d", i.WarmUp, maxWarmUp), "correct the entry")
+	if i.Cold < 0 || i.Cold > MaxWarmUp {
+		return fault.Invalid(field("target", string(i.ID), "cold time"), fmt.Sprintf("%d ms is not from 0 to %d", i.Cold, MaxWarmUp), "correct the entry")
 	}
 	if i.StartedAt < 0 || i.StartedAt > maxStartedAt {
 		return fault.Invalid(field("target", string(i.ID), "start time"), fmt.Sprintf("%d is not from 0 to %d", i.StartedAt, int64(maxStartedAt)), "correct the entry")
--- a/model/instance.go
+++ b/model/instance.go
@@ -5,8 +5,13 @@
 type Instance struct {
 	Target
 	Pool PoolID
-	// WarmUp is the remaining time of the instance's warm-up, during which it is slow.
-	WarmUp Millis
+	// Cold is the time for which the instance stays cold, counted from when its entry was
+	// written, and 0 if it is warm. HasCold is set if the entry names it.
+	Cold    Millis
+	HasCold bool
+	// Revision identifies the content of the entry. A different value means that the entry
+	// was written again.
+	Revision uint64
 	// StartedAt is the start time of the instance in Unix milliseconds, 0 if unknown.
 	// A different value under the same id means that the instance restarted.
 	StartedAt int64
--- a/model/intent.go
+++ b/model/intent.go
@@ -141,6 +141,13 @@
 	Floor   Share    `json:"floor"           cbor:"2,keyasint"`           // smallest share of the pool's slots that ejection leaves in service
 	Probe   string   `json:"probe,omitempty" cbor:"3,keyasint,omitempty"` // path of the targets' health endpoint; empty: ejected targets are not probed
 	Targets []Target `json:"targets"         cbor:"4,keyasint"`
+	// WarmUp and ColdRate are known on platforms that list their targets; a daemon's own
+	// configuration has no such fields. WarmUp is the time for which a target is cold after
+	// a start if its entry does not say so.
+	WarmUp Millis `json:"-" cbor:"-"`
+	// ColdRate is the limit for a cold target, in requests per second of all daemons
+	// together. Nil means that there is none.
+	ColdRate *Rate `json:"-" cbor:"-"`
 }
 
 // Slots returns the total slots of the pool's targets.
--- a/place/choose.go
+++ b/place/choose.go
@@ -221,7 +221,7 @@
 	load := t.estimatedLoad(now)
 	slots := float64(max(t.Slots, 1))
 	work := r.UsualSeconds
-	if now.Sub(t.firstSeen) < t.WarmUp.Duration() {
+	if now.Sub(t.firstSeen) < t.Cold.Duration() {
 		work *= coldFactor
 	}
 	// Up to its number of slots, a target slows down only slightly with load: by 30%
--- a/watch/targets.go
+++ b/watch/targets.go
@@ -181,6 +181,7 @@
 		t.log.Info().Str("target", string(target.ID)).Str("pool", string(target.Pool)).Str("address", target.Address).
 			Bool("leaving", target.Leaving).Uint64("revision", uint64(o.Version)).Msg("target listed")
 	}
+	target.Revision = uint64(o.Version)
 	t.entries[o.Name] = &entry{target: target}
 	return true
 }
