limit, place: cold targets are paced over the fleet

In a pool with ColdRate, a target has a limit.Pacer from the moment at which its entry says that it is cold until it is warm. Entries that are written again, another rate and a restart keep its account. The pacer bounds the rate at any time as well, by the tolerance less 4.5 standard deviations, since reports are up to 0.6 s old.

A request draws one cold target by its allowed share of the pool's demand, instead of asking one after another. The demand is that which the mesh reports for each pool. After a second without requests it is assumed from this host's own until reports can have arrived.

A pool without ColdRate draws the same random numbers as before.

Evidence: TestColdTargets (36, 100 and 300 hosts; restarts, cuts, late hosts, a start of requests), TestColdAccount, TestColdTime, TestColdAndLimited, TestColdWait, limit TestColdPace, TestColdAlone; go test -race ./limit ./place ./proxy passed.

--- a/limit/pacer.go
+++ b/limit/pacer.go
@@ -15,9 +15,9 @@
 	// initialDemandFactor is the multiple of the rate that a new Pacer assumes as
 	// demand, until the reports of the others arrive.
 	initialDemandFactor = 4.0
-	// minPacerRate is the lowest rate, in requests per second. A target that names a
-	// lower one still gets a request now and then, whose response may name another.
-	minPacerRate = 0.1
+	// MinRate is the lowest rate of a Pacer, in requests per second. A target that names
+	// a lower one still gets a request now and then, whose response may name another.
+	MinRate = 0.1
 	// urgentShare is the share of the rate that is reserved for urgent requests. The
 	// others have the rest, so that they are not starved, and what urgent ones leave.
 	urgentShare = 0.8
@@ -52,13 +52,15 @@
 	rate       float64 // requests per second for the whole fleet
 	fleetShare float64 // share of the fleet that is reachable, this daemon included
 	tokens     float64 // requests that may be sent now; negative after too many
+	peak       float64 // requests per second that the whole fleet may send to a cold target at any time
+	balanced   float64 // tokens at which a pacer of a cold target allows its rate; 0: the target named the limit
 	demand     Demand  // requests per second of the reachable daemons
 	updated    time.Time
 }
 
 // NewPacer returns a Pacer with an empty account.
 func NewPacer(now time.Time, rate, fleetShare float64) *Pacer {
-	p := &Pacer{rate: max(rate, minPacerRate), fleetShare: fleetShare, updated: now}
+	p := &Pacer{rate: max(rate, MinRate), fleetShare: fleetShare, updated: now}
 	p.demand.Urgent = initialDemandFactor * p.rate * fleetShare
 	p.demand.Other = p.demand.Urgent
 	return p
@@ -67,7 +69,7 @@
 // SetRate changes the rate, in requests per second for the whole fleet.
 func (p *Pacer) SetRate(now time.Time, rate float64) {
 	p.advance(now)
-	p.rate = max(rate, minPacerRate)
+	p.rate = max(rate, MinRate)
 	p.tokens = min(p.tokens, p.capacity())
 }
 
@@ -83,9 +85,22 @@
 }
 
 func (p *Pacer) capacity() float64 {
+	if p.balanced > 0 {
+		return p.balanced * coldCapacity * p.fleetShare
+	}
 	return (1 + p.rate*pacerBurstTime.Seconds()) * p.fleetShare
 }
 
+// floor returns the lowest account. That of a cold target does not fall further than it
+// fills in coldBalanceTime, since its limit is for one second: daemons that learned late that
+// the target is cold may have sent it many requests.
+func (p *Pacer) floor() float64 {
+	if p.balanced > 0 {
+		return -p.balanced * p.fleetShare
+	}
+	return math.Inf(-1)
+}
+
 // price returns what one request costs. A daemon that reaches only few others may hold
 // less than one token. Its requests are kept to its share by their probability, and what
 // one costs beyond the account would halve that share.
@@ -107,7 +122,7 @@
 // their demand.
 func (p *Pacer) AddRemote(now time.Time, sent float64, wanted Demand) {
 	p.advance(now)
-	p.tokens -= sent * p.price()
+	p.tokens = max(p.tokens-sent*p.price(), min(p.tokens, p.floor()))
 	p.addDemand(wanted)
 }
 
--- a/place/announce.go
+++ b/place/announce.go
@@ -173,13 +173,20 @@
 }
 
 // AddRemoteDemand counts requests of other daemons that would have used a target with a
-// limit.
+// limit, or came to its pool while targets were cold.
 func (b *Balancer) AddRemoteDemand(now time.Time, id model.TargetID, wanted limit.Demand) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if t := b.targets[id]; t != nil && t.announced.pacer != nil {
+	t := b.targets[id]
+	if t == nil {
+		return
+	}
+	if t.announced.pacer != nil {
 		t.announced.pacer.AddRemote(now, 0, wanted)
 	}
+	if b.coldRule(t.Pool) != nil {
+		b.pools[t.Pool].coldDemand.classes(now, wanted)
+	}
 }
 
 // SetFleetShare sets the share of the fleet that is reachable from this daemon, from 0
@@ -190,10 +197,19 @@
 	if share == b.fleetShare {
 		return
 	}
+	if b.fleetShare > 0 {
+		// The demand of the hosts that are no longer heard is not that of this part of the
+		// fleet, and those that are heard again have one before they report it.
+		for _, p := range b.pools {
+			p.coldDemand.scale(share / b.fleetShare)
+		}
+	}
 	b.fleetShare = share
 	for _, t := range b.targets {
-		if t.announced.pacer != nil {
-			t.announced.pacer.SetFleetShare(now, share)
+		for _, p := range []*limit.Pacer{t.announced.pacer, t.cold.pacer} {
+			if p != nil {
+				p.SetFleetShare(now, share)
+			}
 		}
 	}
 }
--- a/place/balancer.go
+++ b/place/balancer.go
@@ -27,7 +27,13 @@
 	// fleetShare is the share of the fleet that is reachable from this daemon, and so the
 	// share of targets' limits that it uses.
 	fleetShare   float64
+	fleetSize    float64 // number of daemons
 	reportDemand DemandReport
+
+	configured    func(model.PoolID) (*model.Pool, bool)
+	coldTolerance limit.ColdTolerance
+	reportCold    func(ColdChange)
+	listed        bool // the list of targets was read
 }
 
 // DemandReport reports to the other daemons that a request of this one would have used a
@@ -43,9 +49,10 @@
 }
 
 type pool struct {
-	targets  []*Target
-	baseline health.Baseline
-	requests requestRate
+	targets    []*Target
+	baseline   health.Baseline
+	requests   requestRate
+	coldDemand coldDemand
 }
 
 // requestRate is an average of the requests per second that all reachable daemons send.
@@ -91,13 +98,15 @@
 	loadUpdated time.Time
 
 	announced announced
+	cold      coldState
 }
 
 // NewBalancer returns a balancer without targets, of a daemon that reaches the whole
 // fleet.
 func NewBalancer(l Location, options ...Option) *Balancer {
 	b := &Balancer{location: l, targets: make(map[model.TargetID]*Target), pools: make(map[model.PoolID]*pool), former: make(map[model.TargetID]formerTarget),
-		fleetShare: 1, reportDemand: func(model.TargetID, bool) {}}
+		fleetShare: 1, fleetSize: 1, reportDemand: func(model.TargetID, bool) {},
+		configured: func(model.PoolID) (*model.Pool, bool) { return nil, false }, reportCold: func(ColdChange) {}}
 	for _, o := range options {
 		o(b)
 	}
@@ -116,24 +125,27 @@
 	for id, list := range instances {
 		p := &pool{}
 		if old := b.pools[id]; old != nil {
-			p.baseline, p.requests = old.baseline, old.requests
+			p.baseline, p.requests, p.coldDemand = old.baseline, old.requests, old.coldDemand
 		}
 		for _, instance := range list {
 			t := b.targets[instance.ID]
+			old := t
 			isNew := t == nil || t.StartedAt != instance.StartedAt || t.Address != instance.Address
 			if isNew {
 				t = &Target{balancer: b, firstSeen: now}
 			}
+			t.listCold(now, old, instance.Revision)
 			t.Instance = *instance
 			if isNew {
 				t.restoreAnnounced()
 			}
+			t.coldPacer(now, b.coldRule(id))
 			targets[instance.ID] = t
 			p.targets = append(p.targets, t)
 		}
 		pools[id] = p
 	}
-	b.targets, b.pools = targets, pools
+	b.targets, b.pools, b.listed = targets, pools, true
 }
 
 // Size returns the number of targets of a pool that accept new requests.
@@ -201,9 +213,7 @@
 	if t := b.targets[id]; t != nil {
 		t.adjustLoad(now, float64(sent-ended))
 		b.addRequests(now, t, sent)
-		if t.announced.pacer != nil {
-			t.announced.pacer.AddRemote(now, float64(sent), limit.Demand{})
-		}
+		t.addRemoteSent(now, float64(sent))
 	}
 }
 
--- a/place/choose.go
+++ b/place/choose.go
@@ -115,9 +115,10 @@
 	if p == nil {
 		return nil, nil
 	}
-	limited, unlimited := b.eligible(now, p, r)
+	limited, unlimited, cold := b.eligible(now, p, r)
 	// Each request compares so many targets with a limit, and all may find this one best.
 	possible := p.requestRate(now) * (localSamples + remoteSamples) / float64(max(limited.size(), 1)) / urgencyClasses
+	defer p.countColdDemand(now, r, cold)
 	admits := func(t *Target) bool {
 		if t.announced.pacer == nil {
 			return true
@@ -132,6 +133,13 @@
 	if list := b.byCost(now, unlimited.take(random), r); len(list) > 0 {
 		best = list[0]
 	}
+	if len(cold) > 0 {
+		t := b.chooseCold(now, p, r, cold, best.cost, random)
+		if t != nil {
+			return t, append(wanted, t.ID)
+		}
+		wanted = append(wanted, cold[random(len(cold))].ID)
+	}
 	for asked := 0; asked < maxLimitedTargets && limited.size() > 0; {
 		for _, c := range b.byCost(now, limited.take(random), r) {
 			if c.cost < best.cost && admits(c.target) {
@@ -147,18 +155,22 @@
 }
 
 // eligible returns the targets of the pool that may get the request, those with a limit
-// and those without one. The caller holds b.mu.
-func (b *Balancer) eligible(now time.Time, p *pool, r Request) (limited, unlimited targets) {
+// and those without one, and those that are cold in a pool with a limit for that. The
+// caller holds b.mu.
+func (b *Balancer) eligible(now time.Time, p *pool, r Request) (limited, unlimited targets, cold []*Target) {
+	rule := b.coldRule(r.Pool)
 	for _, t := range p.targets {
 		switch {
 		case !t.acceptsRequests(now) || slices.Contains(r.Tried, t.ID):
+		case t.coldPacer(now, rule) != nil:
+			cold = append(cold, t)
 		case t.announced.pacer != nil:
 			limited.add(t, b.location.Region)
 		default:
 			unlimited.add(t, b.location.Region)
 		}
 	}
-	return limited, unlimited
+	return limited, unlimited, cold
 }
 
 // candidate is a target with its expected cost in seconds.
@@ -189,12 +201,12 @@
 // or nil. This finds recovered targets soon, and keeps a target that was avoided for
 // no good reason in use.
 func sampleIdle(now time.Time, local []*Target, r Request, random func(int) int) *Target {
-	if !r.Repeatable || len(r.Tried) > 0 || random(idleProbeRatio) != 0 {
+	if !isIdleProbe(r, random) {
 		return nil
 	}
 	var idle []*Target
 	for _, t := range local {
-		if now.Sub(t.lastUsed) > idleThreshold && now.Sub(t.firstSeen) > idleThreshold {
+		if t.isIdle(now) {
 			idle = append(idle, t)
 		}
 	}
@@ -204,6 +216,16 @@
 	return idle[random(len(idle))]
 }
 
+// isIdleProbe reports whether the request probes an idle target, if there is one.
+func isIdleProbe(r Request, random func(int) int) bool {
+	return r.Repeatable && len(r.Tried) == 0 && random(idleProbeRatio) == 0
+}
+
+// isIdle reports whether no daemon has used the target recently.
+func (t *Target) isIdle(now time.Time) bool {
+	return now.Sub(t.lastUsed) > idleThreshold && now.Sub(t.firstSeen) > idleThreshold
+}
+
 // sample moves count random elements to the front of the list and returns them.
 func sample(list []*Target, count int, random func(int) int) []*Target {
 	count = min(count, len(list))
@@ -221,7 +243,7 @@
 	load := t.estimatedLoad(now)
 	slots := float64(max(t.Slots, 1))
 	work := r.UsualSeconds
-	if now.Sub(t.firstSeen) < t.Cold.Duration() {
+	if t.cold.pacer != nil || now.Sub(t.firstSeen) < t.Cold.Duration() {
 		work *= coldFactor
 	}
 	// Up to its number of slots, a target slows down only slightly with load: by 30%
