entry, proxy: limits for cold targets are applied, logged and counted

The balancer gets the pools of the configuration in force, the tolerance of the settings, the requests that the mesh reports for each pool, and the number of hosts. Lines "target is cold" and "target is warm", the gauge place_cold_targets and the counter proxy_cold_refusals show the state. A request that finds only cold targets is refused as not run with a Retry-After from the remaining cold time and the limit.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -114,7 +114,8 @@
 	s, names := e.settings, e.adapter.ObjectNames()
 	e.balancer = place.NewBalancer(place.Location{Region: s.Region, Domain: s.Domain}, place.WithDemandReport(func(id model.TargetID, urgent bool) {
 		reporter{e.node}.reportDemand(id, urgent)
-	}))
+	}), place.WithPools(e.pool), place.WithColdReport(e.logCold),
+		place.WithColdTolerance(limit.ColdTolerance{Overshoot: cmp.Or(s.ColdOvershoot, 1), Slack: s.ColdSlack}))
 	e.targets = watch.NewTargets(e.client(targetWait), names.Targets, e.adapter, func(set watch.TargetSet) { e.balancer.Update(time.Now(), set) },
 		func() time.Duration { return e.config.Age() }, func() bool { return e.config.StoreAnswers() }, watch.WithLog(e.log), watch.WithMeter(e.meter.Scope()))
 	e.config = watch.NewConfigFollower(e.client(configWait), names.Config, names.ConfigName, e.adapter, e.holder, e.targets, watch.WithLog(e.log), watch.WithMeter(e.meter.Scope()))
--- a/entry/share.go
+++ b/entry/share.go
@@ -106,6 +106,7 @@
 		}
 	}
 	for id, u := range s.Pools {
+		e.balancer.AddRemotePoolRequests(now, id, float64(u.Requests)+float64(u.Granted))
 		e.limits.AddRemotePool(id, limit.Usage{Requests: float64(u.Requests), Granted: float64(u.Granted)})
 	}
 }
@@ -162,7 +163,8 @@
 func (e *Entry) updateShare(ctx context.Context) error {
 	t := time.NewTicker(shareInterval)
 	defer t.Stop()
-	previous := 0.0
+	previous, counted := 0.0, time.Time{}
+	coldTargets := e.meter.Scope().SubScope("place").Gauge("cold_targets")
 	e.setShare(0, 0) // nothing is admitted before the list of daemons is known
 	for {
 		select {
@@ -171,6 +173,10 @@
 		case <-t.C:
 		}
 		e.pauses.Confirm()
+		if now := time.Now(); now.Sub(counted) >= coldCountInterval {
+			coldTargets.Update(float64(e.balancer.ColdCount(now)))
+			counted = now
+		}
 		known := len(e.hosts.All())
 		if known == 0 || e.holder.Current() == nil {
 			continue // reports of customers are dropped before there is a configuration
@@ -180,7 +186,30 @@
 			e.log.Info().Float64("part", share).Int("known", known).Msg("part of the fleet heard changed")
 			previous = share
 		}
+		e.balancer.SetFleetSize(known)
 		e.setShare(share, min(1, float64(e.node.CountNew())/float64(known)))
 		e.shareKnown.Store(true)
 	}
 }
+
+// coldCountInterval is how often the cold targets are counted, which also notices targets
+// without requests that became warm.
+const coldCountInterval = time.Second
+
+// pool returns a pool of the configuration in force.
+func (e *Entry) pool(id model.PoolID) (*model.Pool, bool) {
+	c := e.holder.Current()
+	if c == nil {
+		return nil, false
+	}
+	return c.Pool(id)
+}
+
+// logCold logs that a target of a pool with a limit for cold targets became cold or warm.
+func (e *Entry) logCold(c place.ColdChange) {
+	if !c.Cold {
+		e.log.Info().Str("target", string(c.Target)).Str("pool", string(c.Pool)).Msg("target is warm")
+		return
+	}
+	e.log.Info().Str("target", string(c.Target)).Str("pool", string(c.Pool)).Float64("limit", float64(c.Rate)).Dur("left", c.Left).Msg("target is cold")
+}
--- a/proxy/announce_test.go
+++ b/proxy/announce_test.go
@@ -25,6 +25,7 @@
 // proxy.
 type announcers struct {
 	balancer  *place.Balancer
+	pool      model.Pool
 	instances []*model.Instance
 	url       string
 
@@ -35,8 +36,8 @@
 
 func newAnnouncers(t *testing.T, ids ...model.TargetID) *announcers {
 	t.Helper()
-	a := &announcers{balancer: place.NewBalancer(place.Location{Region: "r", Domain: "d"}),
-		headers: make(map[model.TargetID]http.Header), arrivals: make(map[model.TargetID]int)}
+	a := &announcers{headers: make(map[model.TargetID]http.Header), arrivals: make(map[model.TargetID]int)}
+	a.balancer = place.NewBalancer(place.Location{Region: "r", Domain: "d"}, place.WithPools(func(model.PoolID) (*model.Pool, bool) { return &a.pool, true }))
 	for _, id := range ids {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { a.answer(id, w, r) }))
 		t.Cleanup(server.Close)
@@ -182,3 +183,28 @@
 	test.Eq(t, 0, a.takeArrivals("one"))
 	a.sendUntilUsed(t, "one")
 }
+
+// TestSentToColdTarget guards against requests to a cold target above its limit, and against
+// a Retry-After after which the target is still cold or has long been warm.
+func TestSentToColdTarget(t *testing.T) {
+	a := newAnnouncers(t, "one")
+	a.pool.ColdRate = new(model.Rate(0))
+	a.instances[0].HasCold, a.instances[0].Cold, a.instances[0].Revision = true, 1500, 1
+	a.list(a.instances...)
+	a.balancer.SetFleetShare(time.Now(), 0) // this host just started
+	const coldTime, usualTime = 1500 * time.Millisecond, 300 * time.Millisecond
+	cold := time.Now()
+	for time.Since(cold) < coldTime-100*time.Millisecond {
+		before := max(coldTime-time.Since(cold), usualTime)
+		status, header := a.send(t, 1)
+		test.Eq(t, http.StatusServiceUnavailable, status)
+		test.Eq(t, "not-run", header.Get("Rhubarbdrift-Run"))
+		wait, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+		must.NoError(t, err)
+		test.Between(t, (coldTime - time.Since(cold)).Seconds(), wait, 2*before.Seconds()+0.01)
+		time.Sleep(20 * time.Millisecond)
+	}
+	test.Eq(t, 0, a.takeArrivals("one"))
+	a.sendUntilUsed(t, "one")
+	test.GreaterEq(t, coldTime, time.Since(cold))
+}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -91,8 +91,11 @@
 type proxyMetrics struct {
 	scope   tally.Scope
 	retries tally.Counter
-	latency tally.Histogram
-	running tally.Gauge
+	// coldRefusals counts requests that were refused while all targets of their pool that
+	// take requests were cold.
+	coldRefusals tally.Counter
+	latency      tally.Histogram
+	running      tally.Gauge
 }
 
 // Option configures a Proxy.
@@ -124,10 +127,11 @@
 func newMetrics(s tally.Scope) proxyMetrics {
 	s = s.SubScope("proxy")
 	return proxyMetrics{
-		scope:   s,
-		retries: s.Counter("retries"),
-		latency: s.Histogram("latency", tally.MustMakeExponentialDurationBuckets(latencyFirst, 2, latencyCount)),
-		running: s.Gauge("running"),
+		scope:        s,
+		retries:      s.Counter("retries"),
+		coldRefusals: s.Counter("cold_refusals"),
+		latency:      s.Histogram("latency", tally.MustMakeExponentialDurationBuckets(latencyFirst, 2, latencyCount)),
+		running:      s.Gauge("running"),
 	}
 }
 
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -115,7 +115,7 @@
 		if d.fallback != nil || d.mayHaveRun {
 			return d.finish()
 		}
-		return refusal(refuse.New(refuse.KindBusy, refuse.NotRun, "no target of the pool takes requests", "retry later"), d.returnDelay())
+		return d.refuseWithoutTarget()
 	}
 	d.tried = append(d.tried, t.ID)
 	d.inFlight++
@@ -156,11 +156,12 @@
 const maxReturnDelay = 20 * time.Second
 
 // returnDelay returns the Retry-After of a request that the pool's targets can't serve
-// now: about the time until a slot or the first target that wants a pause is free. It
-// is spread, so that callers don't return all at once, and shorter for the most urgent
-// requests, so that these return first.
+// now: about the time until a slot or the first target that wants a pause is free, or until
+// cold targets can serve more. It is spread, so that callers don't return all at once, and
+// shorter for the most urgent requests, so that these return first.
 func (d *dispatch) returnDelay() time.Duration {
-	earliest := min(max(d.usualTime(), d.proxy.deps.Balancer.PauseLeft(time.Now(), d.pool)), maxReturnDelay)
+	now := time.Now()
+	earliest := min(max(d.usualTime(), d.proxy.deps.Balancer.PauseLeft(now, d.pool), d.proxy.deps.Balancer.ColdWait(now, d.pool)), maxReturnDelay)
 	spread := time.Duration(rand.Int64N(int64(earliest)/2 + 1))
 	if d.urgent() {
 		return earliest + spread
