--- a/place/near.go
+++ b/place/near.go
@@ -277,7 +277,7 @@
 		return
 	}
 	p.stateUpdated = now
-	_, eligible := b.eligible(now, p, Request{})
+	_, eligible, _ := b.eligible(now, p, Request{})
 	usable := slices.Concat(eligible.local, eligible.remote)
 	risks := make([]float64, len(usable))
 	for i, t := range usable {
--- a/place/spare.go
+++ b/place/spare.go
@@ -23,7 +23,7 @@
 	}
 	all := r
 	all.Tried = nil
-	_, usable := b.eligible(now, p, all)
+	_, usable, _ := b.eligible(now, p, all)
 	var load, slots float64
 	risks := make([]float64, 0, len(p.targets))
 	var spare targets
@@ -38,8 +38,7 @@
 	slices.Sort(risks)
 	median := risks[len(risks)/2]
 	for _, t := range slices.Concat(usable.local, usable.remote) {
-		cold := now.Sub(t.firstSeen) < t.WarmUp.Duration()
-		if !cold && !slices.Contains(r.Tried, t.ID) && t.estimatedLoad(now)+1 <= float64(t.Slots) && t.risk(now)-median < suspectRisk {
+		if !t.warmsUp(now) && !slices.Contains(r.Tried, t.ID) && t.estimatedLoad(now)+1 <= float64(t.Slots) && t.risk(now)-median < suspectRisk {
 			spare.add(t, b.location.Region)
 		}
 	}
--- a/proxy/hedge_test.go
+++ b/proxy/hedge_test.go
@@ -88,7 +88,7 @@
 			for _, id := range []model.TargetID{"one", "two"} {
 				i := &model.Instance{Pool: "p", Target: model.Target{ID: id, Region: "r", Domain: "d", Slots: 4}}
 				if c.cold {
-					i.WarmUp = 60_000
+					i.Cold = 60_000
 				}
 				list = append(list, i)
 			}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -101,11 +101,14 @@
 	regionRefusals tally.Counter
 	// evacuationRefusals counts requests whose targets are all in evacuated failure domains.
 	evacuationRefusals tally.Counter
-	sends              [place.TierCount]tally.Counter    // by the distance of the target
-	hedges             [hedge.RefusalCount]tally.Counter // decisions; those of hedge.Allowed were sent
-	won                tally.Counter                     // hedged requests whose response was delivered
-	latency            tally.Histogram
-	running            tally.Gauge
+	// coldRefusals counts requests that were refused while all targets of their pool that
+	// take requests were cold.
+	coldRefusals tally.Counter
+	sends        [place.TierCount]tally.Counter    // by the distance of the target
+	hedges       [hedge.RefusalCount]tally.Counter // decisions; those of hedge.Allowed were sent
+	won          tally.Counter                     // hedged requests whose response was delivered
+	latency      tally.Histogram
+	running      tally.Gauge
 }
 
 // Option configures a Proxy.
@@ -155,6 +158,7 @@
 		won:     s.Counter("hedges_won"),
 		retries: s.Counter("retries"),
 
+		coldRefusals:       s.Counter("cold_refusals"),
 		regionRefusals:     s.Counter("region_refusals"),
 		evacuationRefusals: s.Counter("evacuation_refusals"),
 		latency:            s.Histogram("latency", tally.MustMakeExponentialDurationBuckets(latencyFirst, 2, latencyCount)),
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -174,7 +174,7 @@
 	case place.ExcludedByOutdatedList:
 		return refusal(refuse.New(refuse.KindStale, refuse.NotRun, "this daemon may not know all evacuated failure domains", "retry, which may reach another daemon"), shortRetryDelay)
 	}
-	return refusal(refuse.New(refuse.KindBusy, refuse.NotRun, "no target of the pool takes requests", "retry later"), d.returnDelay())
+	return d.refuseWithoutTarget()
 }
 
 // endExchange releases what an exchange held. It ends one that panicked, so that it does not
@@ -208,11 +208,12 @@
 const maxReturnDelay = 20 * time.Second
 
 // returnDelay returns the Retry-After of a request that the pool's targets can't serve
-// now: about the time until a slot or the first target that wants a pause is free. It
-// is spread, so that callers don't return all at once, and shorter for the most urgent
-// requests, so that these return first.
+// now: about the time until a slot or the first target that wants a pause is free, or until
+// cold targets can serve more. It is spread, so that callers don't return all at once, and
+// shorter for the most urgent requests, so that these return first.
 func (d *dispatch) returnDelay() time.Duration {
-	earliest := min(max(d.usualTime(), d.proxy.deps.Balancer.PauseLeft(time.Now(), &place.Request{Pool: d.pool, Regions: d.regions})), maxReturnDelay)
+	now, balancer := time.Now(), d.proxy.deps.Balancer
+	earliest := min(max(d.usualTime(), balancer.PauseLeft(now, &place.Request{Pool: d.pool, Regions: d.regions}), balancer.ColdWait(now, d.pool)), maxReturnDelay)
 	spread := time.Duration(rand.Int64N(int64(earliest)/2 + 1))
 	if d.urgent() {
 		return earliest + spread
