sysmem: one watcher of the account for both programs

Moves the loop that updates the account's clock and metrics and logs its changes of state out of package entry, so that the daemon can use it. No change of behaviour.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -178,7 +178,11 @@
 		},
 		func() error { return kernel.Provide(e.services, "exchange", e.exchange) },
 		func() error { return kernel.Provide(e.services, "parts", serviceFunc(e.updateShare)) },
-		func() error { return kernel.Provide(e.services, "memory", serviceFunc(e.watchAccount)) },
+		func() error {
+			return kernel.Provide(e.services, "memory", &sysmem.Watcher{
+				Account: e.account, Scope: e.meter.Scope(), Log: e.log, Callers: e.callerServer.Open, Targets: e.exchange.Open, CallerLimit: e.callerConnections,
+			})
+		},
 		func() error { return kernel.Provide(e.services, "callers", e.callers) },
 		func() error { return kernel.Provide(e.services, "ready", e.readinessServer()) },
 	}
