gate, daemon: memory and descriptors of the machine bound what callers take

fasthttp read each body whole before the handler was called, and took any number of connections up to a fixed one.

The server now streams bodies, and call.readBody reads them within the account, after the key was checked. The listener admits connections within the descriptors; idle ones and then unfinished headers are closed first. The memory for an exchange is held until its response was read, and a caller that stops reading while memory is short is cut off. Settings memoryMb and maxFds, both optional. As before, the time of a request counts from the end of its body, and targets get bodies with a length.

TestBodyUnchanged compares bodies in each framing and size.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 RED = ^TestSoak$$/^(3|210)$$
 
 # The tests of hostile callers run apart from other load.
-HOSTILE = ^(TestHostile|TestLargestRequest)$$
+HOSTILE = ^(TestHostile|TestHostileDaemon|TestLargestRequest)$$
 
 unit:
 	go test -race -count=1 -skip '$(RED)|$(HOSTILE)' ./...
--- a/config/config.go
+++ b/config/config.go
@@ -25,6 +25,8 @@
 	DefaultLevel = "info"
 	// DefaultConnections is the largest number of connections from callers.
 	DefaultConnections = 16_384
+	// minMemoryMB and minDescriptors are the least that a machine must have.
+	minMemoryMB, minDescriptors = 32, 64
 	// maxShards is the largest number of shards.
 	maxShards = 1024
 	// maxDrain is the longest drain time.
@@ -66,6 +68,8 @@
 	Shards      int            `json:"shards"`      // see DefaultShards
 	DrainMillis model.Millis   `json:"drain"`       // see DrainTime
 	Connections int            `json:"connections"` // largest number of connections from callers
+	MemoryMB    int            `json:"memoryMb"`    // memory of the machine in MiB; 0 for that of the system
+	Descriptors int            `json:"maxFds"`      // descriptors of the process; 0 for the limit of the system
 	Queue       QueueLimits    `json:"queue"`
 	Level       string         `json:"level"` // lowest level of the events that are logged
 }
@@ -101,7 +105,7 @@
 
 // Check validates the settings and returns an error for the first invalid field.
 func (s *Settings) Check() error {
-	checks := []func() error{s.checkLocation, s.checkAddresses, s.checkOperators, s.checkNumbers}
+	checks := []func() error{s.checkLocation, s.checkAddresses, s.checkOperators, s.checkNumbers, s.checkMachine}
 	for _, check := range checks {
 		if err := check(); err != nil {
 			return err
@@ -183,6 +187,17 @@
 	return nil
 }
 
+// checkMachine checks the limits of the machine; 0 stands for those of the system.
+func (s *Settings) checkMachine() error {
+	if s.MemoryMB != 0 && s.MemoryMB < minMemoryMB {
+		return fault.Invalid("memoryMb", fmt.Sprintf("must be at least %d", minMemoryMB), "remove the field for the memory of the system")
+	}
+	if s.Descriptors != 0 && s.Descriptors < minDescriptors {
+		return fault.Invalid("maxFds", fmt.Sprintf("must be at least %d", minDescriptors), "remove the field for the limit of the system")
+	}
+	return nil
+}
+
 // DrainTime returns the time that a planned stop waits for the load balancer to
 // stop sending new connections.
 func (s *Settings) DrainTime() time.Duration { return s.DrainMillis.Duration() }
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -5,6 +5,7 @@
 
 	"rhubarbdrift.example/admin"
 	"rhubarbdrift.example/admit"
+	"rhubarbdrift.example/budget"
 	"rhubarbdrift.example/conf"
 	"rhubarbdrift.example/eject"
 	"rhubarbdrift.example/exch"
@@ -16,6 +17,7 @@
 	"rhubarbdrift.example/queue"
 	"rhubarbdrift.example/serve"
 	"rhubarbdrift.example/store"
+	"rhubarbdrift.example/sysmem"
 	"rhubarbdrift.example/wire"
 )
 
@@ -40,6 +42,7 @@
 	nameCallers  = "callers"
 	nameAdmin    = "admin"
 	nameGauges   = "gauges"
+	nameMemory   = "memory"
 )
 
 // maxConnections is the largest number of connections to one target. It must not be
@@ -105,7 +108,8 @@
 }
 
 func (d *Daemon) buildPicker() error {
-	exchange := exch.New(exch.WithMaxConnections(maxConnections))
+	_, targets := budget.Connections(d.machine.Descriptors, budget.ForMemory(d.machine.Memory))
+	exchange := exch.New(exch.WithMaxConnections(maxConnections), exch.WithMaxOpen(targets))
 	if err := kernel.Provide(d.services, nameExchange, exchange); err != nil {
 		return err
 	}
@@ -157,6 +161,8 @@
 	if err != nil {
 		return err
 	}
+	callers, _ := budget.Connections(d.machine.Descriptors, budget.ForMemory(d.machine.Memory))
+	callers = min(callers, d.settings.Connections)
 	g := gate.New(gate.Dependencies{
 		Snapshot:    d.snapshot,
 		ConfigFresh: d.fresh,
@@ -166,12 +172,18 @@
 		Picker:      picker,
 		Exchanger:   exchange,
 		Observe:     d.state.detector.Observe,
-	}, gate.WithLog(d.log), gate.WithMeter(d.meter.Scope()), gate.WithConnections(d.settings.Connections))
+	}, gate.WithLog(d.log), gate.WithMeter(d.meter.Scope()), gate.WithAccount(d.account, callers))
 	if err := kernel.Provide(d.services, nameGate, g); err != nil {
 		return err
 	}
+	err = kernel.Provide(d.services, nameMemory, &sysmem.Watcher{
+		Account: d.account, Scope: d.meter.Scope(), Log: d.log, Callers: g.Connections, Targets: exchange.Open, CallerLimit: callers,
+	})
+	if err != nil {
+		return err
+	}
 	return kernel.Provide(d.services, nameCallers, &serve.FastHTTP{
-		Name: nameCallers, Address: d.settings.Listen.Callers, Server: g.Server(), Log: d.log, Wait: g.Wait,
+		Name: nameCallers, Address: d.settings.Listen.Callers, Server: g.Server(), Log: d.log, Wait: g.Wait, Wrap: g.Listener,
 	})
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
+	"rhubarbdrift.example/budget"
 	"rhubarbdrift.example/clock"
 	"rhubarbdrift.example/conf"
 	"rhubarbdrift.example/config"
@@ -15,6 +16,7 @@
 	"rhubarbdrift.example/kernel"
 	"rhubarbdrift.example/meter"
 	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/sysmem"
 )
 
 // stopTimeout bounds the wait for running requests after the listeners are
@@ -31,7 +33,9 @@
 	log         zerolog.Logger
 	services    *kernel.Kernel
 	meter       *meter.Meter
-	state       state // objects that several services share
+	machine     sysmem.Machine
+	account     *budget.Account // for what callers make this process hold
+	state       state           // objects that several services share
 }
 
 // Option sets an optional property of a Daemon.
@@ -60,6 +64,8 @@
 	for _, o := range options {
 		o(d)
 	}
+	d.machine = sysmem.System(sysmem.Machine{Memory: int64(s.MemoryMB) << 20, Descriptors: s.Descriptors})
+	d.account = budget.New(budget.ForMemory(d.machine.Memory))
 	if err := d.build(); err != nil {
 		return nil, err
 	}
@@ -70,6 +76,7 @@
 // the first service that failed or of the planned stop, or nil. The services are
 // cancelled after the stop; kernel.Run drops the errors that they return from then on.
 func (d *Daemon) Run(ctx context.Context) error {
+	sysmem.SetRuntimeLimit(d.machine)
 	d.log.Info().Str("release", d.release).Str("region", string(d.settings.Region)).
 		Str("domain", string(d.settings.Domain)).Msg("daemon started")
 	// The services must outlive ctx, because the planned stop needs them.
--- a/gate/call.go
+++ b/gate/call.go
@@ -1,13 +1,13 @@
 package gate
 
 import (
-	"bytes"
 	"context"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
 
+	"rhubarbdrift.example/budget"
 	"rhubarbdrift.example/expiry"
 
 	"rhubarbdrift.example/header"
@@ -53,13 +53,18 @@
 	releasePermit func()              // returns the pool permit to the queue
 	permitRefs    atomic.Int32        // users of the pool permit: run and its exchanges
 	exchangeCtx   expiry.DeadlineOnly // carries the deadline to the exchanges
+	body          budget.Segments
+	inRequest     bool           // the body is that of ctx.Request, instead of body
+	memory        *budget.Holder // of the body, and of the connection to the target
+	memoryUsers   atomic.Int32   // the handler and its exchanges
+	reading       atomic.Bool    // the body is being read
 }
 
 // serve answers the request, or returns the refusal to send. Before it returns a
 // refusal, rollBack has given back the token and the claim if the request was
 // certainly not run.
 func (c *call) serve() *refuse.Refusal {
-	steps := []func() *refuse.Refusal{c.checkFraming, c.matchRoute, c.authenticate, c.admit, c.claimRequest}
+	steps := []func() *refuse.Refusal{c.checkFraming, c.matchRoute, c.authenticate, c.readBody, c.admit, c.claimRequest}
 	for _, step := range steps {
 		if r := step(); r != nil {
 			return c.rollBack(r)
@@ -92,8 +97,8 @@
 	if !ok {
 		return refuse.New(refuse.KindRoute, refuse.NotRun, "the route has no pool", "check the URL")
 	}
-	if len(c.ctx.Request.Body()) > route.MaxBody() {
-		return refuse.New(refuse.KindLarge, refuse.NotRun, "the request body is above the route's limit", "send a smaller body")
+	if c.ctx.Request.Header.ContentLength() > route.MaxBody() {
+		return tooLargeRefusal()
 	}
 	return c.setDeadline()
 }
@@ -238,13 +243,6 @@
 	return claimRefusal(err)
 }
 
-// fingerprint returns a digest of the request's method, URI and body, by which the
-// claim detects an idempotency key that is used for a different request.
-func (c *call) fingerprint() model.Digest {
-	r := &c.ctx.Request
-	return model.DigestOf(bytes.Join([][]byte{r.Header.Method(), r.Header.RequestURI(), r.Body()}, []byte{0}))
-}
-
 // rollBack gives back the token and the claim of a refused request if its refusal
 // states "not-run", and returns the refusal to send. If the claim cannot be
 // released, a repeat would be refused as open, so the refusal then does not state
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"rhubarbdrift.example/budget"
 	"rhubarbdrift.example/logs"
 	"rhubarbdrift.example/refuse"
 	"rhubarbdrift.example/retry"
@@ -41,6 +42,7 @@
 	maxConnections int // of callers; 0 for fasthttp's default
 	draining       atomic.Bool
 	running        atomic.Int64
+	conns          *connections // nil: connections and memory are not bounded
 }
 
 type counters struct {
@@ -70,6 +72,24 @@
 	return func(g *Gate) { g.maxConnections = n }
 }
 
+// WithAccount sets the account for the memory that callers take, and the largest number of
+// their connections, which has precedence over that of WithConnections. Both need the
+// connections of Listener.
+func WithAccount(a *budget.Account, connectionLimit int) Option {
+	return func(g *Gate) {
+		g.conns = &connections{account: a, limit: connectionLimit, open: make(map[*callerConn]struct{})}
+		g.maxConnections = connectionLimit + connectionLimit/8 + 1 // see connections.admit
+	}
+}
+
+// Connections returns the number of connections of callers, if they are bounded.
+func (g *Gate) Connections() int {
+	if g.conns == nil {
+		return 0
+	}
+	return g.conns.count()
+}
+
 // New returns a Gate for the given dependencies.
 func New(deps Dependencies, options ...Option) *Gate {
 	g := &Gate{
@@ -98,18 +118,22 @@
 // Server returns a new HTTP server that handles requests with the Gate.
 func (g *Gate) Server() *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler:               g.handle,
-		ErrorHandler:          g.handleMalformed,
-		MaxRequestBodySize:    maxBodyBytes,
-		ReadBufferSize:        maxHeaderBytes,
-		ReadTimeout:           readTimeout,
-		IdleTimeout:           idleTimeout,
-		Concurrency:           g.maxConnections,
-		NoDefaultServerHeader: true,
-		NoDefaultContentType:  true,
-		NoDefaultDate:         true,
-		CloseOnShutdown:       true,
-		Logger:                logs.Discard{},
+		Handler:            g.handle,
+		ErrorHandler:       g.handleMalformed,
+		MaxRequestBodySize: maxBodyBytes,
+		// Bodies are read by call.readBody, once their memory is reserved.
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
+		ConnState:                    g.connState,
+		ReadBufferSize:               maxHeaderBytes,
+		ReadTimeout:                  readTimeout,
+		IdleTimeout:                  idleTimeout,
+		Concurrency:                  g.maxConnections,
+		NoDefaultServerHeader:        true,
+		NoDefaultContentType:         true,
+		NoDefaultDate:                true,
+		CloseOnShutdown:              true,
+		Logger:                       logs.Discard{},
 	}
 }
 
@@ -137,6 +161,8 @@
 	defer g.removeRunning()
 	defer g.recoverRequest(ctx)
 	c := &call{gate: g, ctx: ctx, start: time.Now()}
+	c.memoryUsers.Store(1)
+	defer c.endHandler()
 	if refused := c.serve(); refused != nil {
 		g.refuse(ctx, refused)
 	}
--- a/gate/run.go
+++ b/gate/run.go
@@ -135,6 +135,7 @@
 	c.prepareRequest(req)
 	started := time.Now()
 	c.permitRefs.Add(1)
+	c.memoryUsers.Add(1)
 	c.gate.addRunning()
 	var stalled atomic.Bool
 	stallTimer := time.AfterFunc(stallTimeout, func() {
@@ -145,6 +146,7 @@
 		stallTimer.Stop()
 		slot.Done(pickResult(&final))
 		c.dropPermitRef()
+		c.dropMemory()
 		if final.Class == exch.Broken {
 			c.gate.counters.broken.Inc(1)
 		}
@@ -161,6 +163,7 @@
 // receive and adds those of this daemon.
 func (c *call) prepareRequest(req *fasthttp.Request) {
 	c.ctx.Request.CopyTo(req)
+	c.setBody(req)
 	header.RemoveHopByHop(&req.Header)
 	req.Header.Del(refuse.HeaderKey)
 	// A caller must not be able to impersonate another customer.
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -26,7 +26,8 @@
 	Address string // IP address and port
 	Server  *fasthttp.Server
 	Log     zerolog.Logger
-	Wait    func(context.Context) error // waits for running requests; if nil, Stop does nothing
+	Wait    func(context.Context) error     // waits for running requests; if nil, Stop does nothing
+	Wrap    func(net.Listener) net.Listener // replaces the listener; may be nil
 }
 
 // Run listens and serves until ctx ends. It returns an error if the address
@@ -38,6 +39,9 @@
 	}
 	s.Log.Info().Str("service", s.Name).Str("address", s.Address).Msg("listening")
 	serveErr := make(chan error, 1)
+	if s.Wrap != nil {
+		ln = s.Wrap(ln)
+	}
 	go func() { serveErr <- s.Server.Serve(ln) }()
 	select {
 	case err := <-serveErr:
