limit: a window decides on customers' limits, beside the token bucket

Window counts the admissions of the fleet in the last Tolerance.Window and may use rate times window plus burst in each. Set.WithWindows selects it; Bucket stays the default. Both implement one interface, which gets Restart for pauses.

--- a/limit/limit.go
+++ b/limit/limit.go
@@ -132,6 +132,11 @@
 	b.tokens = min(b.tokens, b.capacity())
 }
 
+// Restart keeps this daemon to its share after a pause.
+func (b *Bucket) Restart(now time.Time, share float64) {
+	b.SetReachable(now, Reachable{Share: share})
+}
+
 func (b *Bucket) capacity() float64 { return max(1, b.tolerance.usableBurst(b.limit)*b.fleetShare) }
 
 func (b *Bucket) rate() float64 { return b.limit.Rate * b.fleetShare }
--- a/limit/restart_test.go
+++ b/limit/restart_test.go
@@ -55,3 +55,34 @@
 	s.SetReachable(started.Add(200*time.Millisecond), Reachable{Share: 1, NewShare: 1})
 	test.Greater(t, 20, admitAtOnce(s, started.Add(5*time.Second), customer))
 }
+
+// TestWindowRestartHearsLater guards against a restarted daemon that admits what the others
+// may have used, and against one that refuses all until its window is known.
+func TestWindowRestartHearsLater(t *testing.T) {
+	const daemons = 6
+	customer := &model.Customer{ID: "c", Rate: 30, Burst: 30}
+	started := time.Unix(0, 0)
+	s := NewSet(started, Allowance{}, testTolerance, noReports{}, WithWindows())
+	s.SetReachable(started, Reachable{})
+	now := started.Add(800 * time.Millisecond) // the others are heard from now on
+	s.SetReachable(now, Reachable{Share: 1, NewShare: 1.0 / daemons})
+	s.AddRemoteCustomer(now, customer, Usage{Requests: 12, Granted: 2})
+	admitted := admitAtOnce(s, now, customer)
+	test.LessEq(t, 38, admitted) // the tolerance
+	test.Greater(t, 0, admitted)
+
+	s.Restart(now.Add(time.Minute), 1.0/daemons)
+	now = now.Add(time.Minute + 50*time.Millisecond)
+	s.SetReachable(now, Reachable{Share: 1})
+	test.LessEq(t, 38, admitAtOnce(s, now, customer))
+	test.Greater(t, 60, admitAtOnce(s, now.Add(6*time.Second), customer)) // spread, as the demand was high
+}
+
+// TestWindowFirstRequestLate guards against a daemon that refuses the first requests of a
+// customer although it has heard of all others for the whole window.
+func TestWindowFirstRequestLate(t *testing.T) {
+	started := time.Unix(0, 0)
+	s := NewSet(started, Allowance{}, testTolerance, noReports{}, WithWindows())
+	s.SetReachable(started, Reachable{Share: 1, NewShare: 1})
+	test.GreaterEq(t, 180, admitAtOnce(s, started.Add(6*time.Second), &model.Customer{ID: "c", Rate: 30, Burst: 30}))
+}
--- a/limit/set.go
+++ b/limit/set.go
@@ -5,21 +5,50 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"rhubarbdrift.example/model"
 )
 
+// account decides on the requests of one customer. It is not safe for concurrent use.
+type account interface {
+	// Admit decides on one request, with a random number in [0, 1). If it is refused,
+	// retryDelay is the delay after which a retry may succeed.
+	Admit(now time.Time, chance float64) (retryDelay time.Duration, ok bool)
+	// AddRemote counts requests that other daemons received and admitted.
+	AddRemote(now time.Time, admitted, requests float64)
+	// SetReachable sets the share of the fleet that is reachable.
+	SetReachable(now time.Time, r Reachable)
+	// Restart keeps this daemon to its share after a pause.
+	Restart(now time.Time, share float64)
+	// Resize changes the rate and burst.
+	Resize(now time.Time, limit Limit)
+	// Cancel takes back an admitted request that was not sent.
+	Cancel()
+}
+
+// customer is the account of a customer with the limit that it was resized to.
+type customer struct {
+	account
+	limit   Limit
+	metrics *customerMetrics // nil: none
+}
+
 // Set holds the rate limits of all customers and the retry budgets of all pools. It
 // is safe for concurrent use.
 type Set struct {
 	allowance Allowance
 	tolerance Tolerance
 	reporter  Reporter
+	windows   bool        // customers' limits are decided by Window instead of Bucket
+	scope     tally.Scope // of the metrics of customers; nil: none
 
 	mu        sync.Mutex
 	past      Past      // up to reachedAt, for new buckets
 	reachedAt time.Time // when fleet was set
 	fleet     Reachable // last one set, for new buckets and budgets
-	customers map[model.CustomerID]*Bucket
+	customers map[model.CustomerID]*customer
+	measured  time.Time // when the gauges of customers were last set
 	pools     map[model.PoolID]*Budget
 }
 
@@ -29,17 +58,35 @@
 	ReportPool(id model.PoolID, requests, retries uint32)
 }
 
+// Option sets an optional property of a Set.
+type Option func(*Set)
+
+// WithWindows sets that customers may use their rate times Tolerance.Window plus their
+// burst in any such window, as Window describes, instead of a token bucket.
+func WithWindows() Option { return func(s *Set) { s.windows = true } }
+
+// WithMeter sets the scope in which the use and the refusals of each customer are measured.
+func WithMeter(scope tally.Scope) Option { return func(s *Set) { s.scope = scope } }
+
 // NewSet returns a set with the retry allowance a for each pool and the tolerance t
 // for the customers' limits, of a daemon that started at the given time.
-func NewSet(started time.Time, a Allowance, t Tolerance, r Reporter) *Set {
-	return &Set{allowance: a, tolerance: t, reporter: r, past: Past{Started: started}, reachedAt: started, fleet: Reachable{Share: 1}, customers: make(map[model.CustomerID]*Bucket), pools: make(map[model.PoolID]*Budget)}
+func NewSet(started time.Time, a Allowance, t Tolerance, r Reporter, options ...Option) *Set {
+	s := &Set{allowance: a, tolerance: t, reporter: r, past: Past{Started: started}, reachedAt: started, fleet: Reachable{Share: 1}, customers: make(map[model.CustomerID]*customer), pools: make(map[model.PoolID]*Budget)}
+	for _, o := range options {
+		o(s)
+	}
+	return s
 }
 
 // SetReachable sets the share of the fleet that is reachable from this daemon.
 func (s *Set) SetReachable(now time.Time, r Reachable) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.setReachable(now, r)
+	s.setFleet(now, r)
+	for _, c := range s.customers {
+		c.SetReachable(now, r)
+	}
+	s.measure(now)
 }
 
 // Restart keeps this daemon to its share of the fleet after a pause, in which the others
@@ -47,17 +94,18 @@
 func (s *Set) Restart(now time.Time, share float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.setReachable(now, Reachable{Share: share})
+	s.setFleet(now, Reachable{Share: share})
+	for _, c := range s.customers {
+		c.Restart(now, share)
+	}
 	s.past = Past{Started: now}
 }
 
-// setReachable implements SetReachable. The caller holds the lock.
-func (s *Set) setReachable(now time.Time, r Reachable) {
+// setFleet sets the share of the fleet for new accounts and for budgets. The caller holds
+// the lock.
+func (s *Set) setFleet(now time.Time, r Reachable) {
 	s.past.Heard = s.heard(now)
 	s.fleet, s.reachedAt = r, now
-	for _, b := range s.customers {
-		b.SetReachable(now, r)
-	}
 	for _, b := range s.pools {
 		b.SetFleetShare(r.Share)
 	}
@@ -76,8 +124,10 @@
 		return 0, true
 	}
 	s.mu.Lock()
-	retryDelay, ok = s.bucket(now, c).Admit(now, rand.Float64())
+	account := s.customer(now, c)
+	retryDelay, ok = account.Admit(now, rand.Float64())
 	s.mu.Unlock()
+	account.metrics.count(ok)
 	admitted := uint32(0)
 	if ok {
 		admitted = 1
@@ -96,19 +146,28 @@
 	}
 }
 
-// bucket returns the customer's bucket, resized to its current limit. The caller
+// customer returns the customer's account, resized to its current limit. The caller
 // holds the lock.
-func (s *Set) bucket(now time.Time, c *model.Customer) *Bucket {
+func (s *Set) customer(now time.Time, c *model.Customer) *customer {
 	limit := Limit{Rate: float64(c.Rate), Burst: float64(c.Burst)}
-	b := s.customers[c.ID]
-	if b == nil {
-		b = New(now, Past{Started: s.past.Started, Heard: s.heard(now)}, limit, s.tolerance, s.fleet)
-		s.customers[c.ID] = b
+	known := s.customers[c.ID]
+	if known == nil {
+		known = &customer{account: s.newAccount(now, limit), limit: limit, metrics: newCustomerMetrics(s.scope, c.ID)}
+		s.customers[c.ID] = known
 	}
-	if b.limit != limit {
-		b.Resize(now, limit)
+	if known.limit != limit {
+		known.limit = limit
+		known.Resize(now, limit)
 	}
-	return b
+	return known
+}
+
+func (s *Set) newAccount(now time.Time, limit Limit) account {
+	past := Past{Started: s.past.Started, Heard: s.heard(now)}
+	if s.windows {
+		return NewWindow(now, past, limit, s.tolerance, s.fleet)
+	}
+	return New(now, past, limit, s.tolerance, s.fleet)
 }
 
 // Usage is the usage of one customer or pool that other daemons report.
@@ -124,7 +183,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.bucket(now, c).AddRemote(now, u.Granted, u.Requests)
+	s.customer(now, c).AddRemote(now, u.Granted, u.Requests)
 }
 
 // budget returns the pool's budget. The caller holds the lock.
