entry, platform: limits by window where the settings name the contract pressure

A host with it exports rhubarbdrift_limit_admitted, _refused and _window_used by customer. Other hosts keep the token bucket and have no such metrics.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -121,7 +121,7 @@
 	e.hosts = watch.NewHosts(e.client(0), s.meshHost(), watch.WithLog(e.log), watch.WithMeter(e.meter.Scope()))
 	e.node = mesh.NewNode(s.meshHost(), clock.New(clock.SinceBoot), e.applyReport)
 	e.limits = limit.NewSet(time.Now(), limit.Allowance{Ratio: s.RetryRatio, Reserve: s.RetryReserve},
-		limit.Tolerance{Window: s.LimitWindow, Share: s.LimitOvershoot, Slack: s.LimitSlack}, reporter{e.node})
+		limit.Tolerance{Window: s.LimitWindow, Share: s.LimitOvershoot, Slack: s.LimitSlack}, reporter{e.node}, e.limitOptions()...)
 	e.pauses = limit.NewPauseGuard(clock.SinceBoot, e.limitAfterPause)
 	e.exchange = exch.New(exch.WithHeaders(e.adapter.Headers()), exch.WithConnectTimeout(connectTimeout), exch.WithIdleTimeout(idleTimeout),
 		exch.WithMaxBuffered(maxAnswerBytes), exch.WithMaxConnections(maxTargetConnections))
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -39,6 +39,9 @@
 	LimitWindow    time.Duration // in which requests are counted against customers' limits
 	LimitOvershoot float64       // share of a limit by which it may be exceeded
 	LimitSlack     float64       // requests by which a limit may be exceeded in addition to LimitOvershoot
+	// WindowLimits sets that a customer may use its rate times LimitWindow plus its burst in
+	// each LimitWindow, instead of a token bucket.
+	WindowLimits bool
 }
 
 // Defaults of the limits on one connection of a caller.
--- a/entry/share.go
+++ b/entry/share.go
@@ -110,6 +110,14 @@
 	}
 }
 
+// limitOptions returns the options of the customers' limits that the settings ask for.
+func (e *Entry) limitOptions() []limit.Option {
+	if !e.settings.WindowLimits {
+		return nil
+	}
+	return []limit.Option{limit.WithWindows(), limit.WithMeter(e.meter.Scope())}
+}
+
 // guardedLimits is the proxy's limiter. It checks for a pause of this host before each use
 // of a limit.
 type guardedLimits struct {
