place: a floor of targets in use while many requests fail

Cause: a target that looks bad is only tried again by requests that may be repeated. In a pool without such requests nothing tests it, and the evidence outlives the failure by several seconds.

While more than 5% of the recent exchanges with a pool fail, a request may now be sent to a target that nobody used for 1.2 s, until floorShare and a tenth more of the targets are in use. All hosts share the work by the pool's rate of requests, and take the targets with the lowest risk first. Below 5% nothing changes.

TestFloor: without the floor fewer than 7 of 10 targets are in use in some two seconds at 20% failures, with it 7 or more; without failures the two are equal.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -128,7 +128,7 @@
 	e.buildAccount()
 	s, names := e.settings, e.adapter.ObjectNames()
 	options := []place.Option{place.WithDemandReport(func(id model.TargetID, urgent bool) { reporter{e.node}.reportDemand(id, urgent) })}
-	options = append(options, place.WithPools(e.pool), place.WithColdReport(e.logCold),
+	options = append(options, place.WithFloor(s.FloorShare), place.WithPools(e.pool), place.WithColdReport(e.logCold),
 		place.WithColdTolerance(limit.ColdTolerance{Overshoot: cmp.Or(s.ColdOvershoot, 1), Slack: s.ColdSlack}))
 	if s.EvacuationBound > 0 {
 		options = append(options, place.WithEvacuations())
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -44,6 +44,8 @@
 
 	Hedging *hedge.Policy // nil: repeatable requests are hedged at 0.9 of the route's objective, without a share
 
+	FloorShare float64 // share of a pool's targets that stay in use while many of its requests fail; 0: none
+
 	PreferNear bool // targets of the host's own failure domain are used first, then those of its region
 
 	LimitWindow    time.Duration // in which requests are counted against customers' limits
@@ -101,6 +103,9 @@
 	if s.KeyRevocationLimit <= 0 || s.Grace <= 0 {
 		return fault.Invalid("bounds", "the lifetime of withdrawn keys or the grace period of a planned stop is not positive", "set both to more than 0")
 	}
+	if !(s.FloorShare >= 0 && s.FloorShare <= 1) {
+		return fault.Invalid("bounds", fmt.Sprintf("the share %v of targets that stay in use is not from 0 to 1", s.FloorShare), "set it to a value from 0 to 1, or leave it out")
+	}
 	if s.EvacuationBound < 0 {
 		return fault.Invalid("bounds", "the time for an evacuation is negative", "set it to more than 0, or leave it out")
 	}
--- a/place/balancer.go
+++ b/place/balancer.go
@@ -30,6 +30,7 @@
 	fleetSize    float64 // number of daemons
 	reportDemand DemandReport
 	evacuation   evacuation
+	floorShare   float64    // share of a pool's targets that stay in use while it is troubled; 0: none
 	near         *nearFirst // nil: near targets are not used first
 
 	configured    func(model.PoolID) (*model.Pool, bool)
@@ -55,6 +56,7 @@
 	baseline   health.Baseline
 	requests   requestRate
 	coldDemand coldDemand
+	outcomes   outcomes
 
 	// Used with WithNearFirst only.
 	members      uint64                  // hash of the targets for which subset was computed; 0: none
@@ -136,7 +138,7 @@
 	for id, list := range instances {
 		p := &pool{kept: [TierCount]float64{1, 1, 1}}
 		if old := b.pools[id]; old != nil {
-			p.baseline, p.requests, p.coldDemand = old.baseline, old.requests, old.coldDemand
+			p.baseline, p.requests, p.coldDemand, p.outcomes = old.baseline, old.requests, old.coldDemand, old.outcomes
 			p.members, p.subset = old.members, old.subset
 			p.stateUpdated, p.usualRisk, p.full, p.kept, p.spilling = old.stateUpdated, old.usualRisk, old.full, old.kept, old.spilling
 		}
@@ -205,6 +207,7 @@
 		t.exchangeHealth.Add(now, o.Kind, &p.baseline)
 	}
 	p.baseline.Add(now, o.Kind, float64(o.Count))
+	p.outcomes.add(now, o.Kind, float64(o.Count))
 }
 
 // maxEqualObservations is the number of equal observations in one report beyond which
@@ -279,6 +282,7 @@
 		}
 	}
 	p.baseline.Add(now, observed, 1)
+	p.outcomes.add(now, observed, 1)
 }
 
 // SetLoad sets the load, in requests, that the target reported to this daemon.
--- a/place/choose.go
+++ b/place/choose.go
@@ -138,6 +138,9 @@
 	if t := sampleIdle(now, probed, r, random); t != nil && admits(t) {
 		return t, wanted
 	}
+	if t := b.sampleFloor(now, p, r, unlimited, random); t != nil {
+		return t, wanted
+	}
 	best := candidate{cost: math.Inf(1)}
 	list, near := b.candidates(now, p, unlimited, r, random)
 	if len(list) > 0 {
@@ -150,13 +153,23 @@
 		}
 		wanted = append(wanted, cold[random(len(cold))].ID)
 	}
+	if t := b.chooseLimited(now, limited, r, best, near, admits, random); t != nil {
+		return t, wanted
+	}
+	return best.target, wanted
+}
+
+// chooseLimited returns a target with a limit that is better than the best one without, and
+// that admits the request, or nil. With near set, only those of this host's failure domain
+// are asked. The caller holds b.mu.
+func (b *Balancer) chooseLimited(now time.Time, limited targets, r Request, best candidate, near bool, admits func(*Target) bool, random func(int) int) *Target {
 	for asked := 0; asked < maxLimitedTargets && limited.size() > 0; {
 		for _, c := range b.byCost(now, limited.take(random), r) {
 			if near && b.tierOf(c.target) != OwnDomain {
 				continue
 			}
 			if c.cost < best.cost && admits(c.target) {
-				return c.target, wanted
+				return c.target
 			}
 			asked++
 		}
@@ -164,7 +177,7 @@
 			break
 		}
 	}
-	return best.target, wanted
+	return nil
 }
 
 // eligible returns the targets of the pool that may get the request, those with a limit
