--- a/limit/window.go
+++ b/limit/window.go
@@ -15,6 +15,9 @@
 	// is lastingly above the limit. With 1.5 s, admissions that were bunched are even
 	// after three or four windows.
 	spreadTime = 1500 * time.Millisecond
+	// noticeTime is the time until a daemon notices that others are cut off. Admissions that
+	// it learned of since then are of those that it still reaches.
+	noticeTime = 1500 * time.Millisecond
 	// edgeTime is the time of demand before the limit is reached from which requests are
 	// admitted with falling probability, so that not all hosts stop at the same time.
 	edgeTime = 40 * time.Millisecond
@@ -219,8 +222,8 @@
 	switch {
 	case share < before:
 		kept := share / before
-		for i := range w.slots {
-			w.slots[i] *= float32(kept)
+		for age := int(noticeTime / slotTime); age < len(w.slots); age++ {
+			*w.slot(age) *= float32(kept)
 		}
 		w.remoteFast *= kept
 		w.remoteAdmitted *= kept
@@ -301,6 +304,9 @@
 		return clamp(p) * wall(allowance+0.3*extra, tolerance, used)
 	}
 	if deviations(w.slow, usual, slowDemandTime) > lastingDeviations {
+		silence := min(max(w.updated.Sub(w.reported)-reportDelay, 0), noticeTime)
+		mean += (w.mean - w.ownMean) * (math.Exp(silence.Seconds()/meanDemandTime.Seconds()) - 1) // the others are likely cut off
+		used += silence.Seconds() * allowance / w.tolerance.Window.Seconds()
 		p := biasCorrection * w.spreadLeft() / (spreadTime.Seconds() * max(mean, fast-noise, minDemand))
 		return clamp(p) * wall(allowance, tolerance, used)
 	}
