watch, mesh: several children that offer a list do not all read it from the store

Cause: a host that reads the store offers what it has to its parent if the parent had no update for it, and the parent then takes that child for the source of its list, to which it relays nothing. With several such children each became the source just before its own answer was computed, so that none ever got an update and all went on reading and offering. This begins whenever the proofs of a part of the tree are late at the same time, as on slow hosts after a restart.

An offer now brings its entries and its proof, but does not replace a neighbour that relays the list. So one child stays the source, and none if the parent gets the list from above.

TestOffersOfMany: three children, all three read the store after 20 rounds before, one now, and none if the parent's own parent relays the list.

--- a/mesh/relay.go
+++ b/mesh/relay.go
@@ -36,6 +36,10 @@
 	// update's age counts back from at, a reading of RelayedLists.Clock taken before the
 	// neighbour computed it.
 	ApplyUpdate(u *ListUpdate, known store.Version, at time.Duration, from model.HostID)
+	// ApplyOffer is ApplyUpdate for an update that a child offered because this host had
+	// none for it. It takes the entries and the proof, but does not take the child for the
+	// source of the list while another neighbour relays it.
+	ApplyOffer(u *ListUpdate, known store.Version, at time.Duration, from model.HostID)
 	// SetFirst sets whether this host is the first of all that it can reach. The
 	// first host always reads from the store.
 	SetFirst(first bool)
@@ -69,16 +73,26 @@
 	return out
 }
 
-// apply applies a neighbour's updates; see List.ApplyUpdate. It ignores those of a
-// release with other lists.
+// apply applies a parent's updates; see List.ApplyUpdate. It ignores those of a release with
+// other lists.
 func (l *RelayedLists) apply(updates []ListUpdate, known []store.Version, at time.Duration, from model.HostID) {
+	l.applyEach(updates, known, at, func(i int) { l.All[i].ApplyUpdate(&updates[i], known[i], at, from) })
+}
+
+// applyOffers applies the updates that a child offered; see List.ApplyOffer.
+func (l *RelayedLists) applyOffers(updates []ListUpdate, known []store.Version, at time.Duration, from model.HostID) {
+	l.applyEach(updates, known, at, func(i int) { l.All[i].ApplyOffer(&updates[i], known[i], at, from) })
+}
+
+// applyEach calls apply for each list whose update is usable.
+func (l *RelayedLists) applyEach(updates []ListUpdate, known []store.Version, at time.Duration, apply func(i int)) {
 	if len(l.All) == 0 || len(updates) != len(l.All) || len(known) != len(l.All) {
 		return
 	}
 	age := l.Clock() - at
 	for i := range updates {
 		if updates[i].usable(age) {
-			l.All[i].ApplyUpdate(&updates[i], known[i], at, from)
+			apply(i)
 		}
 	}
 }
--- a/mesh/run.go
+++ b/mesh/run.go
@@ -99,7 +99,7 @@
 func (n *Node) answer(l *RelayedLists, m *Message) *Message {
 	n.Receive(m.From, &m.Sum)
 	if m.EchoedIncarnation == n.incarnation {
-		l.apply(m.Updates, m.EchoedVersions, m.AnsweredAt, m.From)
+		l.applyOffers(m.Updates, m.EchoedVersions, m.AnsweredAt, m.From)
 	}
 	return &Message{
 		From: n.self.ID, Sum: n.TakePending(m.From), Versions: l.known(), Updates: l.since(m.Versions, m.From),
--- a/mesh/run_test.go
+++ b/mesh/run_test.go
@@ -32,6 +32,10 @@
 	return ListUpdate{Version: max(l.at, known)}
 }
 
+func (l *recordingList) ApplyOffer(u *ListUpdate, known store.Version, at time.Duration, from model.HostID) {
+	l.ApplyUpdate(u, known, at, from)
+}
+
 func (l *recordingList) ApplyUpdate(u *ListUpdate, known store.Version, at time.Duration, _ model.HostID) {
 	if u.Version > 0 && known == l.at {
 		l.received, l.times, l.at = append(l.received, *u), append(l.times, at), u.Version
--- a/watch/relay.go
+++ b/watch/relay.go
@@ -51,6 +51,17 @@
 
 // ApplyUpdate implements mesh.List.
 func (f *follower) ApplyUpdate(u *mesh.ListUpdate, known store.Version, at time.Duration, relayedBy model.HostID) {
+	f.applyRelay(u, known, at, relayedBy, false)
+}
+
+// ApplyOffer implements mesh.List. If each child that offers became the source, none of
+// several would get the list from this daemon, and all would read it from the store.
+func (f *follower) ApplyOffer(u *mesh.ListUpdate, known store.Version, at time.Duration, relayedBy model.HostID) {
+	f.applyRelay(u, known, at, relayedBy, true)
+}
+
+// applyRelay implements ApplyUpdate, and ApplyOffer if offered is set.
+func (f *follower) applyRelay(u *mesh.ListUpdate, known store.Version, at time.Duration, relayedBy model.HostID, offered bool) {
 	if u.Version == 0 || u.Outdated {
 		f.mu.Lock()
 		if f.relayedBy == relayedBy {
@@ -65,7 +76,7 @@
 	if f.age() > lapseAge {
 		f.beforeApply()
 	}
-	if !f.applyKnown(u, known, at, relayedBy) {
+	if !f.applyKnown(u, known, at, relayedBy, offered) {
 		return
 	}
 	f.afterApply()
@@ -74,8 +85,9 @@
 	}
 }
 
-// applyKnown applies an update if it was computed for the present copy and is not older.
-func (f *follower) applyKnown(u *mesh.ListUpdate, known store.Version, at time.Duration, relayedBy model.HostID) bool {
+// applyKnown applies an update if it was computed for the present copy and is not older. One
+// that was offered does not replace the relays of another neighbour.
+func (f *follower) applyKnown(u *mesh.ListUpdate, known store.Version, at time.Duration, relayedBy model.HostID, offered bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.version != known || u.Version < f.version {
@@ -97,6 +109,9 @@
 		f.keepOutdated(relayedBy)
 		return true
 	}
+	if offered && f.relayedBy != "" && f.relayedBy != relayedBy && f.hasRelay() {
+		return true
+	}
 	f.relayedBy = relayedBy
 	f.lastRelay.Store(int64(f.sinceBoot()))
 	return true
--- a/watch/relay_test.go
+++ b/watch/relay_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/shoenig/test"
 
+	"rhubarbdrift.example/mesh"
+	"rhubarbdrift.example/model"
 	"rhubarbdrift.example/store"
 )
 
@@ -246,3 +248,55 @@
 		test.Eq(t, 0, back.Version)
 	})
 }
+
+// TestOffersOfMany guards against children that all read the list from the store, for as
+// long as each of them offers it to their parent, whether that gets it from another
+// neighbour or not.
+func TestOffersOfMany(t *testing.T) {
+	for _, fromAbove := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			start := time.Now()
+			boot := func() time.Duration { return time.Since(start) + time.Hour }
+			list := func() *Targets {
+				l := NewTargets(newScriptedStore(), "targets", jsonDecoder{}, func(TargetSet) {}, func() time.Duration { return 0 }, func() bool { return true }, WithClock(boot))
+				return l
+			}
+			parent, children := list(), []*Targets{list(), list(), list()}
+			names := []model.HostID{"a", "b", "c"}
+			offers := []bool{true, true, true} // the parent had no update for the child
+			read := func(l *Targets) {
+				l.applyAnswer(9, l.sinceBoot(), func() { l.replaceList([]store.Object{entryOf("t", false)}, 9) })
+			}
+			for _, child := range children {
+				read(child)
+			}
+			for range 20 {
+				time.Sleep(80 * time.Millisecond)
+				if fromAbove {
+					u := mesh.ListUpdate{Version: 9, Complete: parent.Version() == 0, Age: 1}
+					parent.ApplyUpdate(&u, parent.Version(), boot(), "above")
+				}
+				for i, child := range children {
+					if offers[i] {
+						u := child.Since(parent.Version(), "parent")
+						parent.ApplyOffer(&u, parent.Version(), boot(), names[i])
+					}
+					u := parent.Since(child.Version(), names[i])
+					offers[i] = u.Version == 0 || u.Outdated
+					child.ApplyUpdate(&u, child.Version(), boot(), "parent")
+				}
+			}
+			readers := 0
+			for _, child := range children {
+				if !child.relayed() {
+					readers++
+				}
+			}
+			want := 1
+			if fromAbove {
+				want = 0
+			}
+			test.Eq(t, want, readers, test.Sprint(fromAbove))
+		})
+	}
+}
