--- a/place/cold_test.go
+++ b/place/cold_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
 
 	"rhubarbdrift.example/limit"
 	"rhubarbdrift.example/model"
@@ -288,9 +289,10 @@
 
 // newCold returns a balancer with one target "a" in a pool with the rule, and a function
 // that writes its entry again.
-func newCold(now time.Time, rule *model.Pool, in model.Instance) (*Balancer, func(time.Time, func(*model.Instance))) {
-	b := NewBalancer(Location{Region: "r", Domain: "d"}, WithPools(func(model.PoolID) (*model.Pool, bool) { return rule, true }),
+func newCold(now time.Time, rule *model.Pool, in model.Instance, options ...Option) (*Balancer, func(time.Time, func(*model.Instance))) {
+	options = append(options, WithPools(func(id model.PoolID) (*model.Pool, bool) { return rule, id == "p" }),
 		WithColdTolerance(limit.ColdTolerance{Overshoot: coldOvershoot, Slack: coldSlack}))
+	b := NewBalancer(Location{Region: "r", Domain: "d"}, options...)
 	in.Pool, in.Target = "p", model.Target{ID: "a", Region: "r", Domain: "d", Slots: 3}
 	update := func(now time.Time, change func(*model.Instance)) {
 		change(&in)
@@ -332,6 +334,21 @@
 	test.Eq(t, 0, spent())
 }
 
+// TestColdNear guards against a Balancer with WithNearFirst that takes a cold target for warm
+// when it computes the state of the pool: Choose panicked, and the target got a new burst.
+func TestColdNear(t *testing.T) {
+	now := time.Unix(0, 0)
+	rate := model.Rate(4)
+	b, _ := newCold(now, &model.Pool{ID: "p", ColdRate: &rate}, model.Instance{HasCold: true, Cold: 9000, Revision: 1, StartedAt: 1}, WithNearFirst("h"))
+	sent := 0
+	for range 10 {
+		sent += send(b, now, 100)
+		now = now.Add(poolStateAge)
+	}
+	test.LessEq(t, 15, sent)
+	must.NotNil(t, b.targets["a"].cold.pacer)
+}
+
 // TestColdTime guards against targets that stay limited after they are warm, that are not
 // limited while they are cold, and against a limit where none is configured.
 func TestColdTime(t *testing.T) {
