selsim: test files only

The simulation of the selection of targets serves tests and benchmarks alone, so the package has no code outside its test files.

--- a/selsim/selsim.go
+++ b/selsim/sim_test.go
@@ -1,14 +1,3 @@
-// Package selsim simulates in virtual time how a fleet of hosts selects the targets of its
-// requests: hosts and one pool in four failure domains of two regions, late reports of the
-// hosts, targets with few slots and short queues, and faults of all these. It measures the
-// latencies, the sends that cross domains, new connections and refusals, with and without
-// near targets first and hedged requests.
-//
-// # Usage
-//
-//	before := selsim.Run(1, selsim.Fleet{Load: 0.33})
-//	now := selsim.Run(1, selsim.Fleet{Load: 0.33, Near: true})
-//	fmt.Println(before.Table()["crossed"], now.Table()["crossed"])
 package selsim
 
 import (
@@ -26,60 +15,48 @@
 	"rhubarbdrift.example/place"
 )
 
-// Fleet describes hosts and one pool over four failure domains in two regions.
-type Fleet struct {
-	Hosts      int                                    // default: 98
-	Targets    [4]int                                 // of each domain; default: 12
-	Slots      [4]int                                 // of each domain's targets; default: 4
-	Load       float64                                // as a share of the slots with the defaults
-	Peak       float64                                // load until 2 s before From; 0: as load
-	Server     func(domain, i int) (fails, slow bool) // whether a target fails most requests or is four times slower
-	Gray       float64                                // share of the targets that is eight times slower for 4 s each
-	CutHosts   int                                    // hosts that send and receive no reports
-	LostPath   bool                                   // the first host reaches no target of its own domain
-	Near       bool                                   // WithNearFirst
-	Repeatable float64                                // share of the requests that may be repeated; default: 0.4
-	Hedging    Hedging
-	Share      float64       // of hedged requests
-	From, End  time.Duration // what is measured; default: 4 s to 8 s
+// fleet describes hosts and one pool over four failure domains in two regions.
+type fleet struct {
+	hosts      int
+	targets    [4]int                                 // of each domain; default: 12
+	slots      [4]int                                 // of each domain's targets; default: 4
+	load       float64                                // as a share of the slots with the defaults
+	peak       float64                                // load until 2 s before from; 0: as load
+	server     func(domain, i int) (fails, slow bool) // whether a target fails most requests or is four times slower
+	gray       float64                                // share of the targets that is eight times slower for 4 s each
+	cutHosts   int                                    // hosts that send and receive no reports
+	lostPath   bool                                   // the first host reaches no target of its own domain
+	near       bool                                   // WithNearFirst
+	repeatable float64                                // share of the requests that may be repeated
+	hedging    hedging
+	share      float64       // of hedged requests
+	from, end  time.Duration // what is measured
 }
 
-// Hedging is a way to send slow requests a second time.
-type Hedging int
+// hedging is a way to send slow requests a second time.
+type hedging int
 
-// The values of Hedging.
 const (
-	Never       Hedging = iota
-	AtObjective         // without a share: after 0.9 of the objective, and the other send goes on
-	WithinShare
+	never       hedging = iota
+	atObjective         // without a share: after 0.9 of the objective, and the other send goes on
+	withinShare
 )
 
 const (
 	meanWork     = 300 * time.Millisecond
 	objective    = time.Second
+	slowAfter    = objective * 9 / 10
 	reportPeriod = 80 * time.Millisecond  // between the messages of a host
 	reportDelay  = 350 * time.Millisecond // until the reports of a host arrive at the others
+	pool         = model.PoolID("p")
 )
 
-// Figures are what a simulation measured. Crossed counts the sends to other domains,
-// farCrossed those to other regions, shed those that full targets refused; work is the time
-// in seconds for which targets ran requests.
-type Figures struct {
-	sends, crossed, farCrossed, connections, shed, refused, failed, hedged, work float64
-	pairs                                                                        map[[3]int]bool // seed, host and target
-	perTarget, latencies                                                         []float64
-	SpillChanges                                                                 int // of all hosts, from the start
-}
-
-// Requests returns the number of requests that ended.
-func (r *Figures) Requests() float64 { return float64(len(r.latencies)) + r.refused + r.failed }
-
-// Least returns the sends to the least used target as a share of the mean.
-func (r *Figures) Least() float64 { return slices.Min(r.perTarget) / mean(r.perTarget) }
-
-func (r *Figures) quantile(q float64) float64 {
-	slices.Sort(r.latencies)
-	return r.latencies[int(q*float64(len(r.latencies)-1))]
+// figures are what a simulation measured. Counts are by the names of table.
+type figures struct {
+	counts               map[string]float64
+	pairs                map[[3]int]bool // seed, host and target
+	perTarget, latencies []float64
+	spillChanges         int // of all hosts, from the start
 }
 
 func mean(list []float64) float64 {
@@ -90,29 +67,42 @@
 	return sum / float64(len(list))
 }
 
-// Table returns the figures by name, for benchmarks and logs.
-func (r *Figures) Table() map[string]float64 {
-	return map[string]float64{
-		"crossed": r.crossed / r.sends, "region": r.farCrossed / r.sends, "pairs": float64(len(r.pairs)), "connections": r.connections / r.Requests(), "shed": r.shed / r.sends,
-		"refused": r.refused / r.Requests(), "failed": r.failed / r.Requests(), "least": r.Least(), "hedged": r.hedged / r.Requests(), "work-s": r.work / r.Requests(),
-		"mean-s": mean(r.latencies), "p50-s": r.quantile(0.5), "p99-s": r.quantile(0.99), "p99.9-s": r.quantile(0.999),
+// table returns the shares of the sends (crossed: to other domains, region: to other regions,
+// shed: refused by full targets) and of the requests, the sends to the least used target as a
+// share of the mean, and latencies.
+func (r *figures) table() map[string]float64 {
+	slices.Sort(r.latencies)
+	quantile := func(q float64) float64 { return r.latencies[int(q*float64(len(r.latencies)-1))] }
+	requests := float64(len(r.latencies)) + r.counts["refused"] + r.counts["failed"]
+	t := map[string]float64{
+		"pairs": float64(len(r.pairs)), "least": slices.Min(r.perTarget) / mean(r.perTarget), "mean-s": mean(r.latencies),
+		"p50-s": quantile(0.5), "p99-s": quantile(0.99), "p99.9-s": quantile(0.999),
 	}
-}
-
-// Add adds the figures of another simulation.
-func (r *Figures) Add(o *Figures) {
-	for _, p := range [][2]*float64{{&r.sends, &o.sends}, {&r.crossed, &o.crossed}, {&r.farCrossed, &o.farCrossed}, {&r.connections, &o.connections}, {&r.shed, &o.shed}, {&r.refused, &o.refused}, {&r.failed, &o.failed}, {&r.hedged, &o.hedged}, {&r.work, &o.work}} {
-		*p[0] += *p[1]
+	for _, name := range []string{"crossed", "region", "shed"} {
+		t[name] = r.counts[name] / r.counts["sends"]
 	}
-	if r.pairs == nil {
-		r.pairs, r.perTarget = make(map[[3]int]bool), make([]float64, len(o.perTarget))
+	for _, name := range []string{"connections", "refused", "failed", "hedged", "work-s"} {
+		t[name] = r.counts[name] / requests
 	}
-	maps.Copy(r.pairs, o.pairs)
-	for i, n := range o.perTarget {
-		r.perTarget[i] += n
+	return t
+}
+
+// runAll adds the figures of simulations with the seeds from 1.
+func runAll(seeds int, f fleet) *figures {
+	sum := run(1, f)
+	for seed := 2; seed <= seeds; seed++ {
+		r := run(seed, f)
+		for name, n := range r.counts {
+			sum.counts[name] += n
+		}
+		for i, n := range r.perTarget {
+			sum.perTarget[i] += n
+		}
+		maps.Copy(sum.pairs, r.pairs)
+		sum.latencies = append(sum.latencies, r.latencies...)
+		sum.spillChanges += r.spillChanges
 	}
-	r.latencies = append(r.latencies, o.latencies...)
-	r.SpillChanges += o.SpillChanges
+	return sum
 }
 
 // event is an action at a point of the simulated time.
@@ -126,22 +116,16 @@
 func (q events) Len() int           { return len(q) }
 func (q events) Less(i, j int) bool { return q[i].at < q[j].at }
 func (q events) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
-
-// Push implements heap.Interface.
-func (q *events) Push(x any) { *q = append(*q, x.(event)) }
-
-// Pop implements heap.Interface.
+func (q *events) Push(x any)        { *q = append(*q, x.(event)) }
 func (q *events) Pop() any {
-	old := *q
-	last := old[len(old)-1]
-	*q = old[:len(old)-1]
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
 	return last
 }
 
-// simulation is a simulation of a fleet.
 type simulation struct {
-	Fleet
-	Figures
+	fleet
+	figures
 	seed      int
 	random    *rand.Rand
 	now       time.Duration
@@ -156,9 +140,9 @@
 }
 
 type server struct {
-	index, domain, slots, running int
-	fails, slow                   bool
-	waiting                       []*send
+	index, slots, running int
+	fails, slow           bool
+	waiting               []*send
 }
 
 type report struct {
@@ -170,6 +154,7 @@
 	host       int
 	began      time.Duration
 	repeatable bool
+	measured   bool
 	criteria   place.Request
 	answered   bool
 	sends      []*send
@@ -177,14 +162,13 @@
 
 type send struct {
 	*request
-	target   *place.Target
-	at       *server
-	trip     time.Duration
-	sent     time.Duration
-	began    time.Duration // when the target began to run it; 0: it has not
-	slow     bool          // an observation was made while it ran
-	over     bool
-	measured bool
+	target *place.Target
+	at     *server
+	trip   time.Duration
+	sent   time.Duration
+	ran    time.Duration // when the target began to run it; 0: it has not
+	slow   bool          // an observation was made while it ran
+	over   bool
 }
 
 func (s *simulation) clock() time.Time { return time.Unix(0, 0).Add(s.now) }
@@ -193,6 +177,13 @@
 	heap.Push(&s.events, event{s.now + d, action})
 }
 
+// count counts something of a request that is measured.
+func (s *simulation) count(r *request, name string, is bool) {
+	if r.measured && is {
+		s.counts[name]++
+	}
+}
+
 // report applies something at all other hosts once the host's next report arrives.
 func (s *simulation) report(from int, apply func(host int)) {
 	s.pending = append(s.pending, report{from, apply})
@@ -203,103 +194,99 @@
 	s.pending = nil
 	s.after(reportDelay-reportPeriod/2, func() {
 		for i, b := range s.balancers {
-			s.SpillChanges += len(b.SpillChanges())
+			s.spillChanges += len(b.SpillChanges())
 			for _, r := range sent {
-				if r.from != i && i >= s.CutHosts && r.from >= s.CutHosts {
+				if r.from != i && i >= s.cutHosts && r.from >= s.cutHosts {
 					r.apply(i)
 				}
 			}
 		}
 	})
-	if s.now < s.End {
+	if s.now < s.end {
 		s.after(reportPeriod, s.sendReports)
 	}
 }
 
-// Run simulates the fleet.
-func Run(seed int, f Fleet) *Figures {
-	if f.Targets == ([4]int{}) {
-		f.Targets = [4]int{12, 12, 12, 12}
+// run simulates the fleet.
+func run(seed int, f fleet) *figures {
+	s := &simulation{fleet: f, seed: seed, random: rand.New(rand.NewPCG(uint64(seed), 5)), servers: make(map[model.TargetID]*server), idleSince: make(map[[2]int][]time.Duration)}
+	s.counts, s.pairs = make(map[string]float64), make(map[[3]int]bool)
+	if f.targets == ([4]int{}) {
+		s.targets = [4]int{12, 12, 12, 12}
 	}
-	if f.Slots == ([4]int{}) {
-		f.Slots = [4]int{4, 4, 4, 4}
+	if f.slots == ([4]int{}) {
+		s.slots = [4]int{4, 4, 4, 4}
 	}
-	if f.Hosts == 0 {
-		f.Hosts, f.Repeatable, f.From, f.End = 98, 0.4, 4*time.Second, 8*time.Second
-	}
-	s := &simulation{Fleet: f, seed: seed, random: rand.New(rand.NewPCG(uint64(seed), 5)), servers: make(map[model.TargetID]*server), idleSince: make(map[[2]int][]time.Duration)}
-	s.pairs = make(map[[3]int]bool)
 	var list []*model.Instance
-	names := make([][]model.HostID, 4)
 	for d := range s.locations {
 		region := model.Region([]string{"north", "south"}[d/2])
 		s.locations[d] = place.Location{Region: region, Domain: model.Domain(fmt.Sprintf("%s-%d", region, d%2))}
-		for i := range f.Targets[d] {
-			server := &server{index: len(list), domain: d, slots: f.Slots[d]}
-			if f.Server != nil {
-				server.fails, server.slow = f.Server(d, i)
+		for i := range s.targets[d] {
+			t := model.Target{ID: model.TargetID(fmt.Sprintf("t%d-%d", d, i)), Region: region, Domain: s.locations[d].Domain, Slots: model.Slots(s.slots[d])}
+			s.servers[t.ID] = &server{index: len(list), slots: s.slots[d]}
+			if f.server != nil {
+				s.servers[t.ID].fails, s.servers[t.ID].slow = f.server(d, i)
 			}
-			id := model.TargetID(fmt.Sprintf("t%d-%d", d, i))
-			s.servers[id] = server
-			list = append(list, &model.Instance{Pool: "p", Target: model.Target{ID: id, Region: region, Domain: s.locations[d].Domain, Slots: model.Slots(f.Slots[d])}})
+			list = append(list, &model.Instance{Pool: pool, Target: t})
 		}
 	}
 	s.perTarget = make([]float64, len(list))
-	for i := range f.Hosts {
+	names := make([][]model.HostID, 4)
+	for i := range f.hosts {
 		names[i%4] = append(names[i%4], model.HostID(fmt.Sprint(i)))
 	}
-	for i := range f.Hosts {
+	for i := range f.hosts {
 		var options []place.Option
-		if f.Near {
+		if f.near {
 			options = append(options, place.WithNearFirst(model.HostID(fmt.Sprint(i))))
 		}
 		b := place.NewBalancer(s.locations[i%4], options...)
 		b.SetDomainHosts(names[i%4])
-		b.Update(s.clock(), map[model.PoolID][]*model.Instance{"p": list})
+		b.Update(s.clock(), map[model.PoolID][]*model.Instance{pool: list})
 		s.balancers = append(s.balancers, b)
 		s.budgets = append(s.budgets, limit.NewBudget(limit.Allowance{Ratio: 0.2, Reserve: 180}))
-		s.sets = append(s.sets, hedge.NewSet(hedge.Policy{Share: f.Share, Quantile: hedge.DefaultQuantile}, func(_ model.PoolID, sent bool) {
+		s.sets = append(s.sets, hedge.NewSet(hedge.Policy{Share: f.share, Quantile: hedge.DefaultQuantile}, func(_ model.PoolID, sent bool) {
 			u := hedge.Usage{Wanted: 1}
 			if sent {
 				u.Hedged = 1
 			}
-			s.report(i, func(j int) { s.sets[j].AddRemote(s.clock(), "p", u) })
+			s.report(i, func(j int) { s.sets[j].AddRemote(s.clock(), pool, u) })
 		}))
 	}
 	s.sendReports()
-	for t := time.Duration(0); t < f.End; {
-		load := f.Load
-		if f.Peak > 0 && t < f.From-2*time.Second {
-			load = f.Peak
+	for t := time.Duration(0); t < f.end; {
+		load := f.load
+		if f.peak > 0 && t < f.from-2*time.Second {
+			load = f.peak
 		}
 		t += time.Duration(s.random.ExpFloat64() / (load * 4 * 12 * 4) * float64(meanWork))
-		s.after(t, s.request)
+		s.after(t, s.begin)
 	}
 	for len(s.events) > 0 {
 		e := heap.Pop(&s.events).(event)
 		s.now = e.at
 		e.action()
 	}
-	return &s.Figures
+	return &s.figures
 }
 
-func (s *simulation) request() {
-	r := &request{host: s.random.IntN(s.Hosts), began: s.now, repeatable: s.random.Float64() < s.Repeatable}
-	r.criteria = place.Request{Pool: "p", UsualSeconds: meanWork.Seconds(), Bytes: 5000, Repeatable: r.repeatable}
+// begin begins a request.
+func (s *simulation) begin() {
+	r := &request{host: s.random.IntN(s.hosts), began: s.now, repeatable: s.random.Float64() < s.repeatable, measured: s.now >= s.from}
+	r.criteria = place.Request{Pool: pool, UsualSeconds: meanWork.Seconds(), Bytes: 5000, Repeatable: r.repeatable}
 	count := func(host int) {
-		s.sets[host].AddRemote(s.clock(), "p", hedge.Usage{Requests: 1})
+		s.sets[host].AddRemote(s.clock(), pool, hedge.Usage{Requests: 1})
 		s.budgets[host].AddRequests(1)
 	}
 	count(r.host)
 	s.report(r.host, count)
 	s.place(r)
-	bound := objective * 9 / 10
-	delay := bound
-	if s.Hedging == WithinShare {
-		delay = s.sets[r.host].Delay(s.clock(), hedge.Key{}, bound)
+	delay := slowAfter
+	if s.hedging == withinShare {
+		delay = s.sets[r.host].Delay(s.clock(), hedge.Key{}, slowAfter)
 	}
-	if s.Hedging != Never && r.repeatable {
-		s.after(delay, func() { s.hedge(r, bound-delay) })
+	if s.hedging != never && r.repeatable {
+		s.after(delay, func() { s.hedge(r, slowAfter-delay) })
 	}
 }
 
@@ -308,8 +295,8 @@
 	t, ok := s.balancers[r.host].Choose(s.clock(), r.criteria, s.random.IntN)
 	if ok && len(r.criteria.Tried) <= 3 {
 		s.send(r, t)
-	} else if r.began >= s.From {
-		s.refused++
+	} else {
+		s.count(r, "refused", true)
 	}
 }
 
@@ -327,7 +314,7 @@
 		return ok
 	}
 	var t *place.Target
-	if s.Hedging == AtObjective {
+	if s.hedging == atObjective {
 		if t, _ = b.Choose(s.clock(), criteria, s.random.IntN); !retry() {
 			return
 		}
@@ -336,53 +323,48 @@
 		var use float64
 		t, use = b.ChooseSpare(s.clock(), criteria, s.random.IntN)
 		facts := hedge.Facts{AttemptsLeft: true, TimeLeft: true, Late: again <= 0, Use: use, Target: t != nil}
-		if s.sets[r.host].Decide(s.clock(), "p", facts, s.random.Float64(), retry).Refusal != hedge.Allowed {
+		if s.sets[r.host].Decide(s.clock(), pool, facts, s.random.Float64(), retry).Refusal != hedge.Allowed {
 			if again > 0 {
 				s.after(again, func() { s.hedge(r, 0) })
 			}
 			return
 		}
 	}
-	if r.began >= s.From {
-		s.hedged++
-	}
+	s.count(r, "hedged", true)
 	s.send(r, t)
 }
 
 func (s *simulation) send(r *request, t *place.Target) {
-	x := &send{request: r, target: t, at: s.servers[t.ID], sent: s.now, measured: r.began >= s.From}
+	x, home := &send{request: r, target: t, at: s.servers[t.ID], sent: s.now}, s.locations[r.host%4]
 	r.criteria.Tried = append(slices.Clone(r.criteria.Tried), t.ID)
-	if s.LostPath && r.host == 0 && x.at.domain == 0 {
+	if s.lostPath && r.host == 0 && t.Domain == home.Domain {
 		t.AddObservation(s.clock(), health.Unreachable)
 		s.after(250*time.Millisecond, func() { s.place(r) })
 		return
 	}
 	r.sends = append(r.sends, x)
-	if t.Domain != s.locations[r.host%4].Domain {
+	if t.Domain != home.Domain {
 		x.trip = 2 * time.Millisecond
 	}
-	if t.Region != s.locations[r.host%4].Region {
+	if t.Region != home.Region {
 		x.trip = 25 * time.Millisecond
 	}
-	isNew := s.connect(x)
-	if x.measured {
-		s.sends++
+	s.count(r, "connections", s.connect(x))
+	s.count(r, "sends", true)
+	s.count(r, "crossed", t.Domain != home.Domain)
+	s.count(r, "region", t.Region != home.Region)
+	if r.measured {
 		s.perTarget[x.at.index]++
 		s.pairs[[3]int{s.seed, r.host, x.at.index}] = true
-		for count, is := range map[*float64]bool{&s.connections: isNew, &s.crossed: x.trip > 0, &s.farCrossed: x.trip > 2*time.Millisecond} {
-			if is {
-				*count++
-			}
-		}
 	}
 	t.Begin(s.clock())
 	s.report(r.host, func(j int) { s.balancers[j].AddRemoteRequests(s.clock(), t.ID, 1, 0) })
-	s.after(objective*9/10, func() { s.observeSlow(x) })
+	s.after(slowAfter, func() { s.observeSlow(x) })
 	s.after(x.trip, func() {
 		switch {
 		case x.over:
 		case x.at.running < x.at.slots:
-			s.run(x)
+			s.work(x)
 		case len(x.at.waiting) < x.at.slots:
 			x.at.waiting = append(x.at.waiting, x)
 		default:
@@ -407,17 +389,18 @@
 	return true
 }
 
-func (s *simulation) run(x *send) {
+// work runs a request at its target.
+func (s *simulation) work(x *send) {
 	x.at.running++
-	x.began = s.now
+	x.ran = s.now
 	duration, ok := time.Duration((0.4+0.6*s.random.ExpFloat64())*float64(meanWork)), true
-	period := time.Duration(4 / s.Gray * float64(time.Second)) // unused without gray targets
+	period := time.Duration(4 / s.gray * float64(time.Second)) // unused without gray targets
 	switch {
 	case x.at.fails && s.random.Float64() < 0.85:
 		duration, ok = 2*time.Millisecond, false
 	case x.at.slow:
 		duration *= 4
-	case s.Gray > 0 && (s.now+period*time.Duration(x.at.index)/time.Duration(len(s.perTarget)))%period < 4*time.Second:
+	case s.gray > 0 && (s.now+period*time.Duration(x.at.index)/time.Duration(len(s.perTarget)))%period < 4*time.Second:
 		duration *= 8
 	}
 	s.after(duration, func() {
@@ -431,18 +414,18 @@
 // leave ends a send at its target, which begins the next one.
 func (s *simulation) leave(x *send) {
 	x.over = true
-	if x.began == 0 {
+	if x.ran == 0 {
 		return
 	}
 	x.at.running--
 	if x.measured {
-		s.work += (s.now - x.began).Seconds()
+		s.counts["work-s"] += (s.now - x.ran).Seconds()
 	}
 	for len(x.at.waiting) > 0 && x.at.running < x.at.slots {
 		next := x.at.waiting[0]
 		x.at.waiting = x.at.waiting[1:]
 		if !next.over {
-			s.run(next)
+			s.work(next)
 		}
 	}
 }
@@ -464,8 +447,8 @@
 	}
 }
 
-// end counts the end of a send at its host.
-func (s *simulation) end(x *send) {
+// endAt counts the end of a send at its host.
+func (s *simulation) endAt(x *send) {
 	x.target.End(s.clock())
 	s.report(x.host, func(j int) { s.balancers[j].AddRemoteRequests(s.clock(), x.target.ID, 0, 1) })
 }
@@ -475,14 +458,12 @@
 	pair := [2]int{x.host, x.at.index}
 	s.idleSince[pair] = append(s.idleSince[pair], s.now)
 	x.over = true
-	s.end(x)
+	s.endAt(x)
 	load := float64(x.at.running + len(x.at.waiting))
 	x.target.SetLoad(s.clock(), load)
 	switch {
 	case shed:
-		if x.measured {
-			s.shed++
-		}
+		s.count(x.request, "shed", true)
 	case !ok:
 		s.observe(x, health.Failed, load)
 	case !x.slow:
@@ -495,10 +476,10 @@
 	case r.answered:
 	case ok:
 		r.answered = true
-		if x.measured {
+		if r.measured {
 			s.latencies = append(s.latencies, (s.now - r.began).Seconds())
 		}
-		if s.Hedging == WithinShare {
+		if s.hedging == withinShare {
 			s.cancelOthers(x)
 		}
 	case slices.ContainsFunc(r.sends, func(o *send) bool { return !o.over }):
@@ -507,8 +488,8 @@
 	case r.repeatable && len(r.sends) < 2:
 		r.criteria.Repeatable = false
 		s.place(r)
-	case x.measured:
-		s.failed++
+	default:
+		s.count(r, "failed", true)
 	}
 }
 
@@ -523,6 +504,6 @@
 			s.observeSlow(o)
 		}
 		s.leave(o)
-		s.end(o)
+		s.endAt(o)
 	}
 }
