hedge: latencies of former routes and pools are dropped

A host kept two histograms, 20 KB, for each pair of route and pool that it ever served, so its memory grew with each renamed route.

--- a/hedge/hedge.go
+++ b/hedge/hedge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -253,6 +254,8 @@
 	defer s.mu.Unlock()
 	l := s.latencies[k]
 	if l == nil {
+		// Routes and pools may have disappeared.
+		maps.DeleteFunc(s.latencies, func(_ Key, l *latencies) bool { return now.Sub(l.began) >= 2*period })
 		l = newLatencies(now)
 		s.latencies[k] = l
 	}
--- a/hedge/hedge_test.go
+++ b/hedge/hedge_test.go
@@ -1,6 +1,7 @@
 package hedge
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -117,3 +118,16 @@
 	test.EqOp(t, delay, s.Delay(now.Add(period), key, time.Hour))
 	test.EqOp(t, time.Hour, s.Delay(now.Add(2*period), key, time.Hour))
 }
+
+// TestFormerRoutes guards against latencies that are kept for routes and pools that have
+// disappeared: 20 KB each.
+func TestFormerRoutes(t *testing.T) {
+	s, now := NewSet(Policy{Share: 0.1, Quantile: 0.9}, nil), time.Unix(0, 0)
+	for i := range 100 {
+		s.Record(now, Key{"stays", "p"}, time.Second)
+		s.Record(now, Key{model.RouteID(fmt.Sprint(i)), "p"}, time.Second)
+		now = now.Add(period)
+	}
+	test.MapContainsKey(t, s.latencies, Key{"stays", "p"})
+	test.LessEq(t, 4, len(s.latencies))
+}
