place: no hedged request to a target that became cold again

In a pool without a limit for cold targets, ChooseSpare took a target for cold only within the cold time after its first appearance. One that became cold again later got hedged requests. TestSpareCold: chosen before, not now.

--- a/place/cold_test.go
+++ b/place/cold_test.go
@@ -290,7 +290,7 @@
 // newCold returns a balancer with one target "a" in a pool with the rule, and a function
 // that writes its entry again.
 func newCold(now time.Time, rule *model.Pool, in model.Instance, options ...Option) (*Balancer, func(time.Time, func(*model.Instance))) {
-	options = append(options, WithPools(func(id model.PoolID) (*model.Pool, bool) { return rule, id == "p" }),
+	options = append(options, WithPools(func(id model.PoolID) (*model.Pool, bool) { return rule, rule != nil && id == "p" }),
 		WithColdTolerance(limit.ColdTolerance{Overshoot: coldOvershoot, Slack: coldSlack}))
 	b := NewBalancer(Location{Region: "r", Domain: "d"}, options...)
 	in.Pool, in.Target = "p", model.Target{ID: "a", Region: "r", Domain: "d", Slots: 3}
--- a/place/spare.go
+++ b/place/spare.go
@@ -38,7 +38,7 @@
 	slices.Sort(risks)
 	median := risks[len(risks)/2]
 	for _, t := range slices.Concat(usable.local, usable.remote) {
-		if !t.warmsUp(now) && !slices.Contains(r.Tried, t.ID) && t.estimatedLoad(now)+1 <= float64(t.Slots) && t.risk(now)-median < suspectRisk {
+		if !t.isCold(now) && !slices.Contains(r.Tried, t.ID) && t.estimatedLoad(now)+1 <= float64(t.Slots) && t.risk(now)-median < suspectRisk {
 			spare.add(t, b.location.Region)
 		}
 	}
@@ -47,3 +47,8 @@
 	}
 	return chosen, load / slots
 }
+
+// isCold reports whether the target is cold, whether or not its pool has a limit for that.
+func (t *Target) isCold(now time.Time) bool {
+	return t.warmsUp(now) || now.Before(t.cold.listedAt.Add(t.Cold.Duration()))
+}
