place: new targets of other failure domains are not probed early

With near targets first, a target of another failure domain that nobody had used since its appearance counted as idle for ever, so all hosts of the region probed it after 1 s instead of 4 s: a third of the repeatable first sends left their domain then. TestNewTargetProbes: sends to it within 4 s before, none now.

--- a/place/near.go
+++ b/place/near.go
@@ -321,7 +321,7 @@
 	}
 	var list []*Target
 	for _, t := range region {
-		idle := now.Sub(t.lastUsed)
+		idle := min(now.Sub(t.lastUsed), now.Sub(t.firstSeen))
 		own := b.tierOf(t) == OwnDomain
 		if own && (p.subset[t.ID] || idle > domainIdleFactor*idleThreshold) || idle > regionIdleFactor*idleThreshold {
 			list = append(list, t)
--- a/place/near_test.go
+++ b/place/near_test.go
@@ -81,3 +81,26 @@
 		must.EqOp(t, "e", target.Domain)
 	}
 }
+
+// TestNewTargetProbes guards against probes of new targets in another failure domain before
+// the hosts of that domain had time to use them.
+func TestNewTargetProbes(t *testing.T) {
+	b := NewBalancer(Location{"r", "d"}, WithNearFirst("h"))
+	now := time.Unix(0, 0)
+	var list []*model.Instance
+	for _, domain := range []model.Domain{"d", "e"} {
+		list = append(list, &model.Instance{Pool: "p", Target: model.Target{ID: model.TargetID(domain), Region: "r", Domain: domain, Slots: 4}})
+	}
+	b.Update(now, map[model.PoolID][]*model.Instance{"p": list})
+	probed := func(after time.Duration) (n int) {
+		for range 100 {
+			b.targets["d"].lastUsed = now.Add(after)
+			if target, _ := b.Choose(now.Add(after), Request{Pool: "p", Repeatable: true}, rand.IntN); target.ID == "e" {
+				n++
+			}
+		}
+		return n
+	}
+	test.EqOp(t, 0, probed(regionIdleFactor*idleThreshold))
+	test.Positive(t, probed(regionIdleFactor*idleThreshold+time.Millisecond))
+}
