hedge: a pool without usable targets does not turn hedging on again

While no target of a pool was usable, such as in a pause of all of them, its use counted as 0, so hedging that was off under pressure turned on with a log line, and was then on at uses between 0.65 and 0.7. TestDecide: active before, off now.

--- a/hedge/hedge.go
+++ b/hedge/hedge.go
@@ -194,7 +194,9 @@
 	defer s.mu.Unlock()
 	p := s.pool(id)
 	d := Decision{Refusal: p.refusal(f)}
-	if f.AttemptsLeft && f.TimeLeft { // otherwise the use of the pool is not known
+	// Otherwise the use of the pool is not known, or no target is usable, as after a
+	// restart of all of them.
+	if f.AttemptsLeft && f.TimeLeft && (f.Target || f.Use > 0) {
 		off := f.Use > maxUse || p.off && f.Use > resumeUse
 		d.Changed, p.off = off != p.off, off
 	}
--- a/hedge/hedge_test.go
+++ b/hedge/hedge_test.go
@@ -95,6 +95,8 @@
 	test.EqOp(t, NoTarget, decide(func(f *Facts) { f.Target = false }).Refusal)
 	test.Eq(t, Decision{Refusal: Pressure, Changed: true}, decide(func(f *Facts) { f.Use = 0.71 }))
 	test.Eq(t, Decision{Refusal: Pressure}, decide(func(f *Facts) { f.Use = 0.68 }))
+	test.Eq(t, Decision{Refusal: NoTarget}, decide(func(f *Facts) { f.Use, f.Target = 0, false }))
+	test.Eq(t, Decision{Refusal: Pressure}, decide(func(f *Facts) { f.Use = 0.68 }))
 	test.EqOp(t, OverBudget, s.Decide(now, "p", willing, 0.5, func() bool { return false }).Refusal)
 	test.Eq(t, 0, reported)
 	test.Eq(t, Decision{Active: true}, decide(func(f *Facts) { f.Use = 0.68 }))
