--- a/selsim/selsim_test.go
+++ b/selsim/selsim_test.go
@@ -51,7 +51,7 @@
 		}
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			r := runAll(c.seeds, nearFleet(c.fleet, true))
+			r := run(c.seeds, nearFleet(c.fleet, true))
 			now := r.table()
 			t.Log(now)
 			test.LessEq(t, c.crossed, now["crossed"])
@@ -105,7 +105,7 @@
 func benchmark(b *testing.B, name string, f fleet) {
 	b.Run(name, func(b *testing.B) {
 		b.ReportMetric(0, "ns/op")
-		for unit, value := range runAll(4, f).table() { // pairs are those of all four
+		for unit, value := range run(4, f).table() { // pairs are those of all four
 			b.ReportMetric(value, unit)
 		}
 	})
--- a/selsim/sim_test.go
+++ b/selsim/sim_test.go
@@ -3,7 +3,6 @@
 import (
 	"container/heap"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -87,24 +86,6 @@
 	return t
 }
 
-// runAll adds the figures of simulations with the seeds from 1.
-func runAll(seeds int, f fleet) *figures {
-	sum := run(1, f)
-	for seed := 2; seed <= seeds; seed++ {
-		r := run(seed, f)
-		for name, n := range r.counts {
-			sum.counts[name] += n
-		}
-		for i, n := range r.perTarget {
-			sum.perTarget[i] += n
-		}
-		maps.Copy(sum.pairs, r.pairs)
-		sum.latencies = append(sum.latencies, r.latencies...)
-		sum.spillChanges += r.spillChanges
-	}
-	return sum
-}
-
 // event is an action at a point of the simulated time.
 type event struct {
 	at     time.Duration
@@ -125,7 +106,7 @@
 
 type simulation struct {
 	fleet
-	figures
+	*figures
 	seed      int
 	random    *rand.Rand
 	now       time.Duration
@@ -135,7 +116,7 @@
 	balancers []*place.Balancer
 	sets      []*hedge.Set
 	budgets   []*limit.Budget
-	pending   []report                   // since the last reports
+	pending   []func(host int)           // reports since the last ones were sent
 	idleSince map[[2]int][]time.Duration // idle connections of a host and a target
 }
 
@@ -145,11 +126,6 @@
 	waiting               []*send
 }
 
-type report struct {
-	from  int
-	apply func(host int)
-}
-
 type request struct {
 	host       int
 	began      time.Duration
@@ -186,7 +162,11 @@
 
 // report applies something at all other hosts once the host's next report arrives.
 func (s *simulation) report(from int, apply func(host int)) {
-	s.pending = append(s.pending, report{from, apply})
+	s.pending = append(s.pending, func(host int) {
+		if from != host && host >= s.cutHosts && from >= s.cutHosts {
+			apply(host)
+		}
+	})
 }
 
 func (s *simulation) sendReports() {
@@ -195,10 +175,8 @@
 	s.after(reportDelay-reportPeriod/2, func() {
 		for i, b := range s.balancers {
 			s.spillChanges += len(b.SpillChanges())
-			for _, r := range sent {
-				if r.from != i && i >= s.cutHosts && r.from >= s.cutHosts {
-					r.apply(i)
-				}
+			for _, apply := range sent {
+				apply(i)
 			}
 		}
 	})
@@ -207,16 +185,23 @@
 	}
 }
 
-// run simulates the fleet.
-func run(seed int, f fleet) *figures {
-	s := &simulation{fleet: f, seed: seed, random: rand.New(rand.NewPCG(uint64(seed), 5)), servers: make(map[model.TargetID]*server), idleSince: make(map[[2]int][]time.Duration)}
-	s.counts, s.pairs = make(map[string]float64), make(map[[3]int]bool)
+// run simulates the fleet with the seeds from 1.
+func run(seeds int, f fleet) *figures {
 	if f.targets == ([4]int{}) {
-		s.targets = [4]int{12, 12, 12, 12}
+		f.targets = [4]int{12, 12, 12, 12}
 	}
 	if f.slots == ([4]int{}) {
-		s.slots = [4]int{4, 4, 4, 4}
+		f.slots = [4]int{4, 4, 4, 4}
 	}
+	sum := &figures{counts: make(map[string]float64), pairs: make(map[[3]int]bool)}
+	for seed := range seeds {
+		runSeed(sum, seed+1, f)
+	}
+	return sum
+}
+
+func runSeed(sum *figures, seed int, f fleet) {
+	s := &simulation{fleet: f, figures: sum, seed: seed, random: rand.New(rand.NewPCG(uint64(seed), 5)), servers: make(map[model.TargetID]*server), idleSince: make(map[[2]int][]time.Duration)}
 	var list []*model.Instance
 	for d := range s.locations {
 		region := model.Region([]string{"north", "south"}[d/2])
@@ -230,7 +215,9 @@
 			list = append(list, &model.Instance{Pool: pool, Target: t})
 		}
 	}
-	s.perTarget = make([]float64, len(list))
+	if s.perTarget == nil {
+		s.perTarget = make([]float64, len(list))
+	}
 	names := make([][]model.HostID, 4)
 	for i := range f.hosts {
 		names[i%4] = append(names[i%4], model.HostID(fmt.Sprint(i)))
@@ -267,7 +254,6 @@
 		s.now = e.at
 		e.action()
 	}
-	return &s.figures
 }
 
 // begin begins a request.
@@ -307,11 +293,11 @@
 	}
 	b, criteria := s.balancers[r.host], r.criteria
 	retry := func() bool {
-		ok := s.budgets[r.host].Retry(0.6)
-		if ok {
-			s.report(r.host, func(j int) { s.budgets[j].AddRemoteRetries(1) })
+		if !s.budgets[r.host].Retry(0.6) {
+			return false
 		}
-		return ok
+		s.report(r.host, func(j int) { s.budgets[j].AddRemoteRetries(1) })
+		return true
 	}
 	var t *place.Target
 	if s.hedging == atObjective {
