--- a/hedge/hedge.go
+++ b/hedge/hedge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -193,7 +194,9 @@
 	defer s.mu.Unlock()
 	p := s.pool(id)
 	d := Decision{Refusal: p.refusal(f)}
-	if f.AttemptsLeft && f.TimeLeft { // otherwise the use of the pool is not known
+	// Otherwise the use of the pool is not known, or no target is usable, as after a
+	// restart of all of them.
+	if f.AttemptsLeft && f.TimeLeft && (f.Target || f.Use > 0) {
 		off := f.Use > maxUse || p.off && f.Use > resumeUse
 		d.Changed, p.off = off != p.off, off
 	}
@@ -253,6 +256,8 @@
 	defer s.mu.Unlock()
 	l := s.latencies[k]
 	if l == nil {
+		// Routes and pools may have disappeared.
+		maps.DeleteFunc(s.latencies, func(_ Key, l *latencies) bool { return now.Sub(l.began) >= 2*period })
 		l = newLatencies(now)
 		s.latencies[k] = l
 	}
