proxy: a panic in the handling of a request ends its exchanges and releases their responses

After a panic while a target was still answering, for example in the decision on a hedged request, the response of that exchange stayed counted for the life of the process, and the exchange went on until its deadline. Each such request made the account smaller by up to 8 MiB.

run released the responses and cancelled the exchanges only when loop returned. It now does so also when loop panics.

TestPanicReleases fails before: 1,048,576 bytes still held 3 s after the panic.

--- a/proxy/rooms_test.go
+++ b/proxy/rooms_test.go
@@ -109,3 +109,20 @@
 	close(release)
 	awaitEmpty(t, a)
 }
+
+// panicsOnRetry is a Limiter that panics when a request is to be hedged.
+type panicsOnRetry struct{ unlimited }
+
+func (panicsOnRetry) Retry(model.PoolID, float64) bool { panic("no retry") }
+
+// TestPanicReleases guards against the response of an exchange that stays counted, and an
+// exchange that goes on, after the handling of its request panicked.
+func TestPanicReleases(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	defer close(release)
+	tp, a, address := newHalfProxy(t, release)
+	tp.proxy.deps.Limiter = panicsOnRetry{}
+	test.Eq(t, http.StatusInternalServerError, getSafe(t, address))
+	awaitEmpty(t, a)
+}
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -63,7 +63,15 @@
 	if h := c.proxy.deps.Hedges; h != nil {
 		h.CountRequests(c.pool, 1)
 	}
+	decided := false
+	defer func() {
+		if !decided { // loop panicked
+			cancel()
+			d.rooms.keepOnly(nil)
+		}
+	}()
 	resp := d.loop()
+	decided = true
 	d.rooms.keepOnly(resp)
 	if d.inFlight == 0 || resp == nil || ctx.Err() != nil || d.proxy.hasStopped() {
 		cancel()
