budget, proxy: a response behind others leaves memory to those in front

A caller that sent 16 GETs on one connection whose responses are large got 504 for the first ones, also without any other load: the later responses held all that the connection may hold (73 MiB, so from ten responses of 8 MiB on) until the first was written, and the first waited for that memory until its deadline. The same happened between connections when the account was full.

Holders of responses now know whether earlier requests of their connection are unanswered. Until their turn they leave 8 MiB of the connection's limit, and large ones a quarter of the account.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -160,9 +160,10 @@
 // Holder holds bytes for one purpose, such as the body of one request. Without an
 // account all reservations succeed.
 type Holder struct {
-	owner *Owner
-	kind  Kind
-	evict func()
+	owner  *Owner
+	kind   Kind
+	evict  func()
+	behind func() bool // see SetBehind; may be nil
 
 	moved    atomic.Int64 // bytes that the caller sent or took
 	movedAt  atomic.Int64 // time of the last of them, in Unix nanoseconds
@@ -186,6 +187,12 @@
 	return &Holder{owner: o, kind: k, evict: evict}
 }
 
+// SetBehind sets what reports whether the caller gets these bytes only after others of the
+// same connection. Such a holder leaves room for those, which would otherwise wait for memory
+// that is released only after them. The function must not block. SetBehind is called before
+// the first reservation.
+func (h *Holder) SetBehind(behind func() bool) { h.behind = behind }
+
 // Evicted reports whether the holder was evicted.
 func (h *Holder) Evicted() bool { return h.isOut.Load() }
 
@@ -238,6 +245,9 @@
 		return nil, minDelay, false
 	}
 	o := h.owner
+	if h.behind != nil && !a.fitsBehind(h, n) && h.behind() {
+		return nil, minDelay, false
+	}
 	switch {
 	case o.bytes+n > a.limits.Connection:
 		a.refuse(h, ConnectionLimit)
@@ -257,6 +267,15 @@
 	return out, 0, true
 }
 
+// fitsBehind reports whether n more bytes of a holder leave room for one response of the
+// largest size on its connection and, unless it is small, keep the account from being short.
+func (a *Account) fitsBehind(h *Holder, n int64) bool {
+	if h.owner.bytes+n > a.limits.Connection-responsePart {
+		return false
+	}
+	return h.bytes+n <= SmallHolder || a.total+n <= int64(shortShare*float64(a.limits.Total))
+}
+
 // refuse counts a refusal. Responses are not refused: they wait for room.
 func (a *Account) refuse(h *Holder, r Reason) {
 	if h.kind != Responses {
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -229,3 +229,34 @@
 		response.Release()
 	}
 }
+
+// TestBehind guards against bytes that are held behind others of the same connection and
+// leave no memory for those.
+func TestBehind(t *testing.T) {
+	now := time.Unix(1000, 0)
+	a := New(Limits{Total: 80 << 20, Caller: 80 << 20, Connection: 40 << 20})
+	behind := true
+	var list []*Holder
+	reserve := func(o *Owner, wait bool) bool {
+		h := NewHolder(o, Responses, nil)
+		if wait {
+			h.SetBehind(func() bool { return behind })
+		}
+		list = append(list, h)
+		_, ok := h.Reserve(now, 8<<20)
+		return ok
+	}
+	first, second := a.NewOwner("first"), a.NewOwner("second")
+	for _, o := range []*Owner{first, second} {
+		for n := range 5 {
+			test.Eq(t, n < 4 && (o == first || n < 3), reserve(o, true), test.Sprint("response ", n))
+		}
+	}
+	test.True(t, reserve(first, false), test.Sprint("the response in front, beside those behind it"))
+	behind = false
+	test.True(t, reserve(second, true), test.Sprint("a response whose turn it is"))
+	for _, h := range list {
+		h.Release()
+	}
+	test.Eq(t, 0, a.Status().Total)
+}
--- a/caller/context.go
+++ b/caller/context.go
@@ -36,6 +36,21 @@
 	}
 }
 
+// IsBehind reports whether an earlier request of the connection was not answered yet. It does
+// not block, and returns false if another server serves the request.
+func IsBehind(ctx context.Context) bool {
+	x, ok := ctx.Value(contextKey{}).(*exchange)
+	if !ok {
+		return false
+	}
+	select {
+	case <-x.turn:
+		return false
+	default:
+		return true
+	}
+}
+
 // Owner returns the connection of a request in the account for memory, or nil if another
 // server serves it or there is no account.
 func Owner(ctx context.Context) *budget.Owner {
--- a/proxy/rooms.go
+++ b/proxy/rooms.go
@@ -20,7 +20,9 @@
 // too slowly while memory is short has its connection closed.
 func (r *rooms) open(c *call) *budget.Holder {
 	ctx := c.request.Context()
-	return budget.NewHolder(caller.Owner(ctx), budget.Responses, func() { caller.Abort(ctx) })
+	h := budget.NewHolder(caller.Owner(ctx), budget.Responses, func() { caller.Abort(ctx) })
+	h.SetBehind(func() bool { return caller.IsBehind(ctx) })
+	return h
 }
 
 // end releases the memory of an exchange that ended, unless it may be that of the call's
