exch: no evidence against a target whose response waited for this host's memory

A response for which there was no memory is not read. A target that gave it up meanwhile, as targets do after some seconds, counted as failed, and one whose rest did not arrive in time as stalled, which also closes its idle connections. A host short of memory so took working targets out of use.

Only a wait that lasted until the deadline was exempt. A failure after a second of waiting in total is now exempt too.

TestRoomLate fails before: the outcome of a target that closes after 3 s of 4 is not marked as canceled.

--- a/exch/exchange.go
+++ b/exch/exchange.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math"
 	"os"
@@ -43,6 +44,7 @@
 	deadline  time.Time     // deadline of the response header
 	writeErr  error         // cause of an incomplete request write
 	maxIdle   time.Duration // maximum idle time of a reused connection
+	unread    time.Duration // time for which the response waited for room
 	out       Outcome
 	done      func(Outcome)
 }
@@ -367,6 +369,9 @@
 	if x.out.HeaderLatency == 0 {
 		x.out.HeaderLatency = time.Since(x.start)
 	}
+	if x.unread >= unreadTime {
+		err = fmt.Errorf("%v: %w", err, errNoRoom) // not a stall of the target, if it was a time-out
+	}
 	x.out.Canceled = errors.Is(x.ctx.Err(), context.Canceled) || errors.Is(err, errAbandoned)
 	address := x.conn.connPool.address
 	switch {
--- a/exch/room.go
+++ b/exch/room.go
@@ -17,6 +17,11 @@
 // released: callers that make no progress may have become eligible for eviction.
 const roomRetry = 250 * time.Millisecond
 
+// unreadTime is how long a response may stay unread for lack of room, in total, before its
+// failure is no longer evidence about the target. Targets give up responses that stay unread
+// for some seconds.
+const unreadTime = time.Second
+
 // errTooLarge is the cause of an exchange whose response exceeds the limit.
 var errTooLarge = errors.New("the response is too large")
 
@@ -39,14 +44,16 @@
 	return context.WithValue(ctx, roomKey{}, r)
 }
 
-// reserve waits until n bytes are reserved or ctx ends.
-func (r *Room) reserve(ctx context.Context, n int64) error {
+// reserve waits until n bytes are reserved or the exchange's context ends.
+func (x *exchange) reserve(r *Room, n int64) error {
 	if r == nil {
 		return nil
 	}
-	if _, ok := r.Memory.Reserve(time.Now(), n); ok {
+	start := time.Now()
+	if _, ok := r.Memory.Reserve(start, n); ok {
 		return nil
 	}
+	defer func() { x.unread += time.Since(start) }()
 	for {
 		freed := r.Memory.Freed() // before the reservation, so that no release is missed
 		if _, ok := r.Memory.Reserve(time.Now(), n); ok {
@@ -57,7 +64,7 @@
 		case <-freed:
 			retry.Stop()
 		case <-retry.C:
-		case <-ctx.Done():
+		case <-x.ctx.Done():
 			retry.Stop()
 			return errNoRoom
 		}
@@ -96,10 +103,10 @@
 	case size > limit:
 		err = errTooLarge
 	case size >= 0:
-		err = room.reserve(x.ctx, int64(size))
+		err = x.reserve(room, int64(size))
 	}
 	if err == nil {
-		data, err = budget.ReadAll(b, known, int64(limit), func(n int64) error { return room.reserve(x.ctx, n) }, func(time.Time, int) {})
+		data, err = budget.ReadAll(b, known, int64(limit), func(n int64) error { return x.reserve(room, n) }, func(time.Time, int) {})
 	}
 	if err == nil && data.Len() > int64(limit) {
 		err = errTooLarge
--- a/exch/room_test.go
+++ b/exch/room_test.go
@@ -54,6 +54,32 @@
 	}
 }
 
+// TestRoomLate guards against evidence against a target that gave up a response which this
+// host did not read for lack of memory.
+func TestRoomLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		impatient := &scriptedTarget{script: func(nc net.Conn, _ int) {
+			send(nc, "HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n"+strings.Repeat("x", 1000))
+			time.Sleep(3 * time.Second)
+			_ = nc.Close()
+		}}
+		a := budget.New(budget.Limits{Total: 4 << 20, Caller: 4 << 20, Connection: 4 << 20})
+		other := budget.NewHolder(a.NewOwner("other"), budget.Responses, nil)
+		_, ok := other.Reserve(time.Now(), 3<<20)
+		test.True(t, ok)
+		time.AfterFunc(4*time.Second, other.Release)
+		room := &Room{Memory: budget.NewHolder(a.NewOwner("caller"), budget.Responses, nil)}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		var resp fasthttp.Response
+		c := New(WithDial(impatient.dial), WithMaxBuffered(2<<20))
+		defer c.Close()
+		out := c.Do(WithRoom(ctx, room), target, newRequest("GET"), &resp)
+		test.Eq(t, Broken, out.Class)
+		test.True(t, out.Canceled)
+	})
+}
+
 // TestMaxOpen guards against connections to targets above the limit of all of them, while
 // idle ones could be closed instead.
 func TestMaxOpen(t *testing.T) {
