budget: sizes that overflow are refused, and the largest limit does not cut a body to nothing

Where the configuration allows bodies of any size (maxBodyBytes of 2^63-1), a body in chunks reached the target empty, and one announced with nearly as many bytes was read without a reservation: limit+1 and the sum with the header were negative, and negative reservations succeeded.

TestHugeNumbers fails before in both.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -226,10 +227,14 @@
 // they don't fit then either, Reserve returns the time after which a new attempt may
 // succeed. Reservations of an evicted holder fail.
 func (h *Holder) Reserve(now time.Time, n int64) (retryAfter time.Duration, ok bool) {
-	if h.owner == nil || n <= 0 {
+	if h.owner == nil || n == 0 {
 		return 0, true
 	}
+	if n < 0 { // a sum of sizes overflowed
+		n = math.MaxInt64
+	}
 	a := h.owner.account
+	n = min(n, a.limits.Connection+1) // refused as any larger number is, and sums don't overflow
 	a.mu.Lock()
 	out, wait, ok := a.reserve(now, h, n)
 	a.mu.Unlock()
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"errors"
 	"io"
+	"math"
+	"strings"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -260,3 +262,22 @@
 	}
 	test.Eq(t, 0, a.Status().Total)
 }
+
+// TestHugeNumbers guards against a body that is read without a reservation or cut to nothing
+// because its size or its limit overflows.
+func TestHugeNumbers(t *testing.T) {
+	a := New(ForMemory(184 << 20))
+	h := NewHolder(a.NewOwner("caller"), Bodies, nil)
+	one, largest := int64(1), int64(math.MaxInt64)
+	for _, n := range []int64{largest, largest + one, largest + 1000} {
+		_, ok := h.Reserve(time.Unix(1000, 0), n)
+		test.False(t, ok, test.Sprint(n))
+	}
+	_, ok := h.Reserve(time.Unix(1000, 0), 1000)
+	test.True(t, ok)
+	_, ok = h.Reserve(time.Unix(1000, 0), largest)
+	test.False(t, ok)
+	s, err := ReadAll(strings.NewReader("body"), -1, largest, func(int64) error { return nil }, func(time.Time, int) {})
+	test.NoError(t, err)
+	test.Eq(t, 4, s.Len())
+}
--- a/budget/segments.go
+++ b/budget/segments.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"time"
 )
 
@@ -83,6 +84,7 @@
 // its error ends the reading.
 func ReadAll(source io.Reader, known, limit int64, reserve func(n int64) error, progress func(now time.Time, n int)) (Segments, error) {
 	var s Segments
+	limit = min(limit, math.MaxInt64-1)
 	next := int64(firstSegment)
 	for {
 		size := min(next, limit+1-s.size)
