gate, budget: a caller is not cut off for a pause of its target

While memory was short, the daemon closed the connection of a caller whose response was streamed when the target had sent nothing for 2 s, since the minimum rate applied to the caller from the header of the response on. It now applies only while a write to the caller is in progress.

TestPausingTarget fails before: the caller is evicted and gets 16 of 32 KiB. TestUnreadResponse, which passed before too, guards the eviction of a caller that does not read.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -210,6 +210,16 @@
 	h.mark(now)
 }
 
+// ExpectWrite sets whether a write to the caller is in progress. It is Expect for responses
+// that are streamed from a target: it costs less, and does not begin a new measurement.
+func (h *Holder) ExpectWrite(now time.Time, expected bool) {
+	if h.owner == nil {
+		return
+	}
+	h.movedAt.Store(now.UnixNano())
+	h.expected.Store(expected)
+}
+
 // mark begins a measurement of the rate.
 func (h *Holder) mark(now time.Time) {
 	h.markAt, h.markBytes, h.rate, h.slow = now, h.moved.Load(), 0, false
--- a/gate/body.go
+++ b/gate/body.go
@@ -97,7 +97,7 @@
 }
 
 // endHandler releases the body. If a response is still being streamed, its caller has to
-// read it from now on.
+// read what is written from now on.
 func (c *call) endHandler() {
 	if c.memory == nil {
 		return
@@ -107,7 +107,7 @@
 	}
 	size := c.ctx.Response.Header.ContentLength()
 	if conn, ok := c.ctx.Conn().(*callerConn); ok && c.ctx.Response.IsBodyStream() && (size < 0 || size > socketTakes) {
-		c.memory.Expect(time.Now(), true)
+		c.memory.Expect(time.Now(), false) // until a write begins
 		conn.writes.Store(c.memory)
 	}
 	c.dropMemory()
--- a/gate/conns.go
+++ b/gate/conns.go
@@ -199,10 +199,15 @@
 		c.deadlineSet = now
 		_ = c.SetWriteDeadline(now.Add(writeTimeout)) // fails only on a closed connection
 	}
-	n, err := c.Conn.Write(p)
-	if h := c.writes.Load(); h != nil {
-		h.Progress(time.Now(), n)
+	h := c.writes.Load()
+	if h == nil {
+		return c.Conn.Write(p)
 	}
+	h.ExpectWrite(now, true)
+	n, err := c.Conn.Write(p)
+	now = time.Now()
+	h.Progress(now, n)
+	h.ExpectWrite(now, false) // between two writes, the target has to send
 	return n, err
 }
 
--- a/gate/memory_test.go
+++ b/gate/memory_test.go
@@ -1,10 +1,12 @@
 package gate
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -117,3 +119,50 @@
 		test.LessEq(t, 9, tg.gate.Connections())
 	}
 }
+
+// TestPausingTarget guards against a caller that is cut off, while memory is short, because
+// the target pauses within its response.
+func TestPausingTarget(t *testing.T) {
+	resume := make(chan struct{})
+	part := strings.Repeat("a", 2*socketTakes)
+	tg, a := newBoundedGate(t, 8<<20, 100, func(ctx *fasthttp.RequestCtx) {
+		ctx.SetBodyStreamWriter(func(w *bufio.Writer) {
+			_, _ = w.WriteString(part)
+			_ = w.Flush()
+			<-resume
+			_, _ = w.WriteString(part)
+		})
+	})
+	c, err := net.Dial("tcp", tg.address)
+	must.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	_, _ = io.WriteString(c, request("GET", "/weights", ""))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	must.NoError(t, err)
+	_, err = io.ReadFull(resp.Body, make([]byte, len(part)))
+	must.NoError(t, err)
+	time.Sleep(2100 * time.Millisecond) // the time without progress after which callers can be cut off
+	test.Eq(t, 0, a.EvictSlow(time.Now(), 10))
+	close(resume)
+	rest, err := io.ReadAll(resp.Body)
+	test.NoError(t, err)
+	test.Eq(t, len(part), len(rest))
+}
+
+// TestUnreadResponse guards against a response that a caller does not read and that keeps
+// its memory while memory is short.
+func TestUnreadResponse(t *testing.T) {
+	tg, a := newBoundedGate(t, 8<<20, 100, func(ctx *fasthttp.RequestCtx) {
+		ctx.SetBody(make([]byte, 32<<20))
+	})
+	tg.unfinished(t, request("GET", "/weights", ""))
+	end := time.Now().Add(6 * time.Second)
+	for a.EvictSlow(time.Now(), 10) == 0 {
+		must.True(t, time.Now().Before(end))
+		time.Sleep(50 * time.Millisecond)
+	}
+	for tg.gate.Connections() > 0 {
+		must.True(t, time.Now().Before(end))
+		time.Sleep(time.Millisecond)
+	}
+}
