exch, proxy: a target is not slow because its response waited for this host's memory

A response that waited for memory beyond 0.9 of the route's objective, or half of its timeout, counted as evidence that its target is slow, so a host short of memory avoided working targets. The same held for the losing exchange of a hedged request that ended for lack of memory.

The evidence is left out if the response waited for memory.

--- a/exch/room.go
+++ b/exch/room.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -34,8 +35,13 @@
 type Room struct {
 	Memory *budget.Holder
 	Body   budget.Segments // the body, which resp does not contain then
+	waited atomic.Bool
 }
 
+// Waited reports whether the response was not read for a time because there was no memory.
+// How long it took then says nothing about the target.
+func (r *Room) Waited() bool { return r.waited.Load() }
+
 // roomKey is the key of the *Room in the context of an exchange.
 type roomKey struct{}
 
@@ -53,6 +59,7 @@
 	if _, ok := r.Memory.Reserve(start, n); ok {
 		return nil
 	}
+	r.waited.Store(true)
 	defer func() { x.unread += time.Since(start) }()
 	for {
 		freed := r.Memory.Freed() // before the reservation, so that no release is missed
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -257,6 +257,9 @@
 	})
 	defer end()
 	slowTimer := time.AfterFunc(d.slowAfter(), func() {
+		if s.room.Waited() {
+			return
+		}
 		s.slow.Store(true)
 		d.recordObservation(s.target, health.Slow, -1, &exch.Outcome{HeaderLatency: d.slowAfter()})
 	})
@@ -473,7 +476,7 @@
 	if lost || s.out.Class == exch.Complete || s.out.Class == exch.NoResponse && !s.out.Canceled {
 		h.Record(time.Now(), d.latencyKey(), elapsed)
 	}
-	if lost && s.slow.CompareAndSwap(false, true) {
+	if lost && !s.room.Waited() && s.slow.CompareAndSwap(false, true) {
 		d.recordObservation(s.target, health.Slow, -1, &s.out)
 	}
 }
