--- a/exch/exchange.go
+++ b/exch/exchange.go
@@ -370,7 +370,7 @@
 		x.out.HeaderLatency = time.Since(x.start)
 	}
 	if x.unread >= unreadTime {
-		err = fmt.Errorf("%v: %w", err, errNoRoom) // not a stall of the target, if it was a time-out
+		err = fmt.Errorf("%w, then: %s", errNoRoom, err.Error()) // not wrapped: a time-out is no stall of the target
 	}
 	x.out.Canceled = errors.Is(x.ctx.Err(), context.Canceled) || errors.Is(err, errAbandoned)
 	address := x.conn.connPool.address
