--- a/proxy/run.go
+++ b/proxy/run.go
@@ -63,7 +63,15 @@
 	if h := c.proxy.deps.Hedges; h != nil {
 		h.CountRequests(c.pool, 1)
 	}
+	decided := false
+	defer func() {
+		if !decided { // loop panicked
+			cancel()
+			d.rooms.keepOnly(nil)
+		}
+	}()
 	resp := d.loop()
+	decided = true
 	d.rooms.keepOnly(resp)
 	if d.inFlight == 0 || resp == nil || ctx.Err() != nil || d.proxy.hasStopped() {
 		cancel()
@@ -249,6 +257,9 @@
 	})
 	defer end()
 	slowTimer := time.AfterFunc(d.slowAfter(), func() {
+		if s.room.Waited() {
+			return
+		}
 		s.slow.Store(true)
 		d.recordObservation(s.target, health.Slow, -1, &exch.Outcome{HeaderLatency: d.slowAfter()})
 	})
@@ -465,7 +476,7 @@
 	if lost || s.out.Class == exch.Complete || s.out.Class == exch.NoResponse && !s.out.Canceled {
 		h.Record(time.Now(), d.latencyKey(), elapsed)
 	}
-	if lost && s.slow.CompareAndSwap(false, true) {
+	if lost && !s.room.Waited() && s.slow.CompareAndSwap(false, true) {
 		d.recordObservation(s.target, health.Slow, -1, &s.out)
 	}
 }
