place: the floor brings targets back within the two seconds of the rule

A target counted as in use for 1.2 s, and took 0.4 s on average to be chosen and up to 0.35 s to be heard of; the times are now 0.9 s and 0.3 s. Slow exchanges count as trouble too, from 4% on, since requests that are refused do not show in the exchanges.

--- a/place/floor.go
+++ b/place/floor.go
@@ -11,21 +11,22 @@
 
 const (
 	// floorTime is the time since its last request for which a target counts as in use. With
-	// the time until all daemons know of a request it stays below the two seconds in which
-	// the floor must be kept.
-	floorTime = 1200 * time.Millisecond
+	// the time until all daemons know of a request, and that until an unused target is
+	// chosen, it stays below the two seconds in which the floor must be kept. With 1200 ms,
+	// 7 of 11 targets were in use.
+	floorTime = 900 * time.Millisecond
 	// floorMargin is the share of the targets by which the floor is exceeded, since some that
 	// count as in use fail.
 	floorMargin = 0.1
 	// floorPeriod is the time in which the missing targets are brought back into use.
-	floorPeriod = 400 * time.Millisecond
+	floorPeriod = 300 * time.Millisecond
 	// maxFloorChance bounds the share of requests that are sent to targets out of use.
 	maxFloorChance = 0.25
-	// troubledShare is the share of failed exchanges from which the floor applies to a pool:
-	// half of that from which it must be kept. Below it, targets are left out on evidence
-	// alone.
-	troubledShare = 0.05
-	// outcomeTime is the time constant of the share of failed exchanges.
+	// troubledShare is the share of failed or slow exchanges from which the floor applies to a
+	// pool: less than half of the share of requests from which it must be kept, some of which
+	// are refused without an exchange. Below it, targets are left out on evidence alone.
+	troubledShare = 0.04
+	// outcomeTime is the time constant of the share of failed or slow exchanges.
 	outcomeTime = 1500 * time.Millisecond
 	// minOutcomes is the number of recent exchanges below which that share is not known.
 	minOutcomes = 5
@@ -50,12 +51,12 @@
 		o.all, o.failed, o.updated = o.all*decay, o.failed*decay, now
 	}
 	o.all += count
-	if observed == health.Failed || observed == health.Unreachable {
+	if observed != health.Good {
 		o.failed += count
 	}
 }
 
-// troubled reports whether many requests to the pool fail.
+// troubled reports whether many requests to the pool fail or are slow.
 func (o *outcomes) troubled(now time.Time) bool {
 	o.add(now, health.Good, 0)
 	return o.all >= minOutcomes && o.failed > troubledShare*o.all
