place: the use of near targets keeps the state of cold ones

Callers of a pool with coldPerS saw broken requests on hosts that use near targets first: with a cold target in the pool, Choose panicked (nil pacer in chooseCold) each time the state of the pool was computed, about every 50 ms. Where it did not, the account of the cold target began anew, so that its limit did not hold, and the log had "target is cold" and "target is warm" by turns.

Cause: updateState called eligible without the id of the pool, so no rule for cold targets was found and coldPacer dropped the pacers of all of them. The tests of cold targets didn't show it, as they have the rule for any id and are without WithNearFirst.

--- a/place/near.go
+++ b/place/near.go
@@ -214,7 +214,7 @@
 	if b.near == nil {
 		return b.byCost(now, l.take(random), r), false
 	}
-	b.updateState(now, p)
+	b.updateState(now, p, r.Pool)
 	var used, others [TierCount][]*Target
 	for _, t := range slices.Concat(l.local, l.remote) {
 		if d := b.tierOf(t); p.subset[t.ID] {
@@ -271,13 +271,13 @@
 // that are kept in each tier. A share is the integral of the difference between the use of
 // the tier's slots and that at which requests spill over, so it settles although loads are
 // known late, and does not flap. The caller holds b.mu.
-func (b *Balancer) updateState(now time.Time, p *pool) {
+func (b *Balancer) updateState(now time.Time, p *pool, id model.PoolID) {
 	elapsed := now.Sub(p.stateUpdated)
 	if elapsed < poolStateAge {
 		return
 	}
 	p.stateUpdated = now
-	_, eligible, _ := b.eligible(now, p, Request{})
+	_, eligible, _ := b.eligible(now, p, Request{Pool: id})
 	usable := slices.Concat(eligible.local, eligible.remote)
 	risks := make([]float64, len(usable))
 	for i, t := range usable {
