limit: a step of the wall clock does not change a window

After a step of a host's clock its customers could exceed their limit: with rate 30/s and burst 30, 218 requests in 5 s allowed, one host admitted 360 after steps of 2 s or more forwards, 310 after 2 s and 248 after an hour backwards.

Cause: Window numbered its slots by the wall clock, so that a step forwards dropped them and one backwards mixed recent admissions with old ones. It counts from its creation now, by the monotonic clock.

TestWindowClockStep fails without the change with the figures above.

--- a/limit/window.go
+++ b/limit/window.go
@@ -86,7 +86,8 @@
 	newShare   float64 // largest Reachable.NewShare while the past of the window is not known
 
 	slots        []float32 // admissions by the time at which this daemon learned of them, a ring
-	newest       int64     // number of the newest slot since the Unix epoch
+	created      time.Time
+	newest       int64 // number of the newest slot, as returned by slotNumber
 	updated      time.Time
 	assumedAt    time.Time // when admissions were last assumed
 	reported     time.Time // when others last reported a request
@@ -105,8 +106,9 @@
 func NewWindow(now time.Time, past Past, limit Limit, tolerance Tolerance, r Reachable) *Window {
 	w := &Window{
 		limit: limit, tolerance: tolerance, slots: make([]float32, int(tolerance.Window/slotTime)+1),
-		newest: now.UnixNano() / int64(slotTime), updated: now, countedSince: now.Add(-past.Heard),
+		created: now, updated: now, countedSince: now.Add(-past.Heard),
 	}
+	w.newest, _ = w.slotNumber(now)
 	w.fleetShare, w.newShare = min(max(r.Share, 0), 1), r.NewShare
 	if past.Heard < tolerance.Window {
 		w.assumeUsed(w.fleetShare, past.Heard, r.NewShare)
@@ -151,6 +153,14 @@
 	w.assumeUsed(w.fleetShare, 0, share)
 }
 
+// slotNumber returns the number of the slot of a time, and the elapsed part of that slot. It
+// counts from the creation of the window, since a step of the wall clock would drop or mix
+// the slots.
+func (w *Window) slotNumber(now time.Time) (number int64, elapsed time.Duration) {
+	since := time.Duration(w.created.UnixNano()%int64(slotTime)) + now.Sub(w.created)
+	return int64(since / slotTime), since % slotTime
+}
+
 // slot returns the slot of the given age in slots.
 func (w *Window) slot(age int) *float32 {
 	n := int64(len(w.slots))
@@ -164,7 +174,7 @@
 		return
 	}
 	w.updated = now
-	newest := now.UnixNano() / int64(slotTime)
+	newest, _ := w.slotNumber(now)
 	for range min(newest-w.newest, int64(len(w.slots))) {
 		w.newest++
 		*w.slot(0) = 0
@@ -182,7 +192,8 @@
 // sum returns the known admissions of the last length, with a part of the oldest slot.
 func (w *Window) sum(length time.Duration) float64 {
 	sum, age := float64(*w.slot(0)), 1
-	slots := length.Seconds()/slotTime.Seconds() - float64(w.updated.UnixNano()%int64(slotTime))/float64(slotTime)
+	_, elapsed := w.slotNumber(w.updated)
+	slots := length.Seconds()/slotTime.Seconds() - float64(elapsed)/float64(slotTime)
 	for ; slots >= 1 && age < len(w.slots); slots-- {
 		sum += float64(*w.slot(age))
 		age++
