limit: a window holds its oldest admissions until they leave it

Customers could exceed their limit by bursts and surges. Bursts of the whole allowance every 4.8 s at one host: 360 in 5 s, 218 allowed, and 1040, 592 allowed.

Cause: the sum of the window left out its oldest 0.3 s, the longest time that reports take, also for the host's own admissions and for those reported early. When a bunch left the window, as much was admitted again up to 0.3 s too early. The larger one of both estimates counts now.

TestWindowBurstAgain and TestWindowSurge fail without the change.

--- a/limit/window.go
+++ b/limit/window.go
@@ -299,7 +299,8 @@
 	fast := w.ownFast + remote
 	mean := w.mean / (1 - math.Exp(-max(w.updated.Sub(w.countedSince), reportDelay).Seconds()/meanDemandTime.Seconds()))
 	noise := noiseDeviations * math.Sqrt(fast/(2*fastDemandTime.Seconds()))
-	used := w.sum(w.tolerance.Window-reportDelay) + unreported
+	// The whole window counts too: its oldest admissions were this daemon's own, or reported early.
+	used := max(w.sum(w.tolerance.Window-reportDelay)+unreported, w.sum(w.tolerance.Window))
 
 	if w.updated.Before(w.assumedUntil) && w.fleetShare > 0 {
 		extra := newShareTolerance * tolerance * min(1, w.newShare/max(w.fleetShare, minDemand))
--- a/limit/window_test.go
+++ b/limit/window_test.go
@@ -292,6 +292,42 @@
 	}
 }
 
+// TestWindowBurstAgain guards against a burst that is admitted while the one before is still
+// in the window, because the hosts drop admissions that may have been reported late.
+func TestWindowBurstAgain(t *testing.T) {
+	for _, l := range windowLimits {
+		allowance, rule := perWindow(l)
+		for _, gap := range []time.Duration{4750 * time.Millisecond, 4950 * time.Millisecond} {
+			s := newTreeSim(1, 36, newWindowAccount, l)
+			s.pick = func() int { return 17 }
+			for range 4 {
+				for range int(allowance) {
+					s.request(arrival{at: s.now, host: s.pick()})
+				}
+				s.run(0, gap)
+			}
+			test.LessEq(t, rule, s.most(), test.Sprint(l, gap))
+		}
+	}
+}
+
+// TestWindowSurge guards against demand that rises from little to several times the limit,
+// uses the window in a bunch, and then exceeds the rule when the bunch leaves the window.
+func TestWindowSurge(t *testing.T) {
+	for _, l := range []Limit{{Rate: 30, Burst: 30}, {Rate: 100, Burst: 20}, {Rate: 150, Burst: 50}} {
+		allowance, rule := perWindow(l)
+		for _, hosts := range []int{6, 36, 100} {
+			for _, factors := range [][2]float64{{0, 3}, {0, 8}, {0.25, 8}, {0.5, 8}} {
+				s := newTreeSim(1, hosts, newWindowAccount, l)
+				s.repeats = 2
+				s.run(factors[0]*allowance/window.Seconds(), 10*time.Second)
+				s.run(factors[1]*allowance/window.Seconds(), 8*time.Second)
+				test.LessEq(t, rule, s.most(), test.Sprint(l, hosts, factors))
+			}
+		}
+	}
+}
+
 // TestWindowResized guards against a lowered limit that does not bind within one window
 // after all hosts know it, and against a raised one that does not work at once.
 func TestWindowResized(t *testing.T) {
