proxy: a request counts against its customer's limit when it is admitted

A customer whose first requests at a host had slow bodies could exceed its limit: 180 requests that had begun 4 s before and 180 more after 1.1 s were admitted in a trial with a window, 218 allowed.

Cause: the limiter decided for the time at which the request began. A body or a queue may take seconds after that, and a new account began that far in the past. It decides for the present now.

--- a/proxy/call.go
+++ b/proxy/call.go
@@ -316,7 +316,7 @@
 	if c.customer == nil || c.route.Open {
 		return nil
 	}
-	wait, ok := c.proxy.deps.Limiter.Admit(c.start, c.customer)
+	wait, ok := c.proxy.deps.Limiter.Admit(time.Now(), c.customer)
 	if ok {
 		c.admitted = true
 		return nil
