place, entry: repeats and hedged requests notice a pause too

A repeat of a send of which no byte was written checked for none, and a hedged request only after its target was chosen.

The balancer calls the check before it chooses for these. Found by reading; TestHoldBeforeRepeat shows the choice, and fails if Choose and ChooseSpare don't call the check. The wiring in entry has no test of its own, since the guard there uses the real clock.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -131,7 +131,7 @@
 	options = append(options, place.WithFloor(s.FloorShare), place.WithPools(e.pool), place.WithColdReport(e.logCold),
 		place.WithColdTolerance(limit.ColdTolerance{Overshoot: cmp.Or(s.ColdOvershoot, 1), Slack: s.ColdSlack}))
 	if s.EvacuationBound > 0 {
-		options = append(options, place.WithEvacuations())
+		options = append(options, place.WithEvacuations(), place.WithPauseCheck(func() { e.pauses.Check() }))
 	}
 	if s.PreferNear {
 		options = append(options, place.WithNearFirst(s.Host))
--- a/place/balancer.go
+++ b/place/balancer.go
@@ -30,6 +30,7 @@
 	fleetSize    float64 // number of daemons
 	reportDemand DemandReport
 	evacuation   evacuation
+	checkPause   func()
 	floorShare   float64    // share of a pool's targets that stay in use while it is troubled; 0: none
 	near         *nearFirst // nil: near targets are not used first
 
@@ -118,7 +119,7 @@
 // fleet.
 func NewBalancer(l Location, options ...Option) *Balancer {
 	b := &Balancer{location: l, targets: make(map[model.TargetID]*Target), pools: make(map[model.PoolID]*pool), former: make(map[model.TargetID]formerTarget),
-		fleetShare: 1, fleetSize: 1, reportDemand: func(model.TargetID, bool) {},
+		fleetShare: 1, fleetSize: 1, reportDemand: func(model.TargetID, bool) {}, checkPause: func() {},
 		configured: func(model.PoolID) (*model.Pool, bool) { return nil, false }, reportCold: func(ColdChange) {}}
 	for _, o := range options {
 		o(b)
--- a/place/choose.go
+++ b/place/choose.go
@@ -87,6 +87,9 @@
 // limit leaves room. The function random returns a random number in [0, n) for its
 // argument n.
 func (b *Balancer) Choose(now time.Time, r Request, random func(int) int) (*Target, bool) {
+	if len(r.Tried) > 0 {
+		b.checkPause()
+	}
 	t, wanted := b.choose(now, r, random)
 	for _, id := range wanted {
 		b.reportDemand(id, r.Urgent)
--- a/place/evacuation.go
+++ b/place/evacuation.go
@@ -22,6 +22,12 @@
 	return func(b *Balancer) { b.evacuation.required = true }
 }
 
+// WithPauseCheck sets the function that is called before a target is chosen for a request that
+// was sent before. It detects a pause of this daemon since then, and may call the balancer.
+func WithPauseCheck(check func()) Option {
+	return func(b *Balancer) { b.checkPause = check }
+}
+
 // usable reports whether a target may be chosen by what is known of evacuations.
 func (e *evacuation) usable(now time.Time) bool {
 	return (e.known || !e.required) && !now.Before(e.held)
--- a/place/evacuation_test.go
+++ b/place/evacuation_test.go
@@ -34,6 +34,32 @@
 	return out
 }
 
+// TestHoldBeforeRepeat guards against a repeat or a hedged request that a daemon sends by an
+// outdated list, because it was paused while the first send was in flight.
+func TestHoldBeforeRepeat(t *testing.T) {
+	now, random := time.Unix(0, 0), rand.New(rand.NewPCG(1, 1))
+	var b *Balancer
+	paused := false
+	b = NewBalancer(Location{Region: "r", Domain: "d"}, WithPauseCheck(func() {
+		if paused {
+			b.HoldRequests(now.Add(time.Second))
+		}
+	}))
+	b.Update(now, map[model.PoolID][]*model.Instance{"p": {
+		{Pool: "p", Target: model.Target{ID: "a", Region: "r", Domain: "d", Slots: 3}},
+		{Pool: "p", Target: model.Target{ID: "b", Region: "r", Domain: "d", Slots: 3}},
+	}})
+	choose := func() (chosen []bool) {
+		again := Request{Pool: "p", UsualSeconds: 0.1, Tried: []model.TargetID{"a"}}
+		spare, _ := b.ChooseSpare(now, again, random.IntN)
+		_, repeat := b.Choose(now, again, random.IntN)
+		return []bool{spare != nil, repeat}
+	}
+	test.Eq(t, []bool{true, true}, choose())
+	paused = true
+	test.Eq(t, []bool{false, false}, choose())
+}
+
 // TestEvacuated guards against a request to a target of an evacuated domain, as the first
 // one, another one or a probe of an idle one, and against requests that stay away when the
 // domain is in service again or go further than they must.
--- a/place/spare.go
+++ b/place/spare.go
@@ -15,6 +15,7 @@
 // slot, is not suspected of being unhealthy, is not cold and has no limit; nil if there is
 // none.
 func (b *Balancer) ChooseSpare(now time.Time, r Request, random func(int) int) (chosen *Target, use float64) {
+	b.checkPause()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	p := b.pools[r.Pool]
