limit: a customer's first request after a cut finds the window partly used

After a cut of half of the fleet ended, a host admitted the whole window of a customer that it had not seen yet (180 at once at 30/s, burst 30), although the part that returned may have used 90 of it: 270 in 5 s, 218 allowed.

Cause: for accounts that exist, Window.SetReachable takes the share that returns as used, but new ones were made by the time for which the fleet had been heard in total. That share of the window counts as not heard now.

TestWindowFirstRequestAfterCut fails without the change (180, 164 allowed with what the others used evenly).

--- a/limit/restart_test.go
+++ b/limit/restart_test.go
@@ -78,6 +78,34 @@
 	test.Greater(t, 60, admitAtOnce(s, now.Add(6*time.Second), customer)) // spread, as the demand was high
 }
 
+// TestWindowFirstRequestAfterCut guards against a daemon that admits a whole window of a
+// customer that it has not seen yet, although the part of the fleet that just returned may
+// have used its own share of it; and against one that forgets the whole window because one
+// daemon of many returned.
+func TestWindowFirstRequestAfterCut(t *testing.T) {
+	customer := &model.Customer{ID: "c", Rate: 30, Burst: 30}
+	// Half of the fleet used 90 requests evenly in 5 s, of which 54 are in the window after 2 s.
+	for cut, allowed := range map[float64][2]int{0.5: {90, 218 - 54}, 0.01: {175, 218}} {
+		now := time.Unix(0, 0)
+		s := NewSet(now, Allowance{}, testTolerance, noReports{}, WithWindows())
+		s.SetReachable(now, Reachable{Share: 1})
+		now = now.Add(time.Minute)
+		s.SetReachable(now, Reachable{Share: 1 - cut})
+		now = now.Add(10 * time.Second)
+		s.SetReachable(now, Reachable{Share: 1})
+		admitted := 0
+		for range 40 { // 2 s
+			now = now.Add(50 * time.Millisecond)
+			for range 10 {
+				if _, ok := s.Admit(now, customer); ok {
+					admitted++
+				}
+			}
+		}
+		test.Between(t, allowed[0], admitted, allowed[1], test.Sprint(cut))
+	}
+}
+
 // TestWindowFirstRequestLate guards against a daemon that refuses the first requests of a
 // customer although it has heard of all others for the whole window.
 func TestWindowFirstRequestLate(t *testing.T) {
--- a/limit/set.go
+++ b/limit/set.go
@@ -105,6 +105,10 @@
 // the lock.
 func (s *Set) setFleet(now time.Time, r Reachable) {
 	s.past.Heard = s.heard(now)
+	if before := min(max(s.fleet.Share, 0), 1); s.windows && r.Share > before {
+		// Those that return were not heard, and may have used their part of the window.
+		s.past.Heard = time.Duration(before / r.Share * float64(min(s.past.Heard, s.tolerance.Window)))
+	}
 	s.fleet, s.reachedAt = r, now
 	for _, b := range s.pools {
 		b.SetFleetShare(r.Share)
