limit: a part of the fleet that returns brings its known admissions back

When hosts were lost and returned within a window, a bunch of admissions could be admitted again in part: with 180 admitted in 2 s, the share of the fleet falling to 4/6 and back gave 223 to 230 in 5 s, 218 allowed.

Cause: SetReachable took the lost share out of all slots, and put it back evenly over the window. The slots keep now what was taken out of them, and get it back where it exceeds the even use.

TestWindowReturn fails without the change.

--- a/limit/window.go
+++ b/limit/window.go
@@ -86,6 +86,7 @@
 	newShare   float64 // largest Reachable.NewShare while the past of the window is not known
 
 	slots        []float32 // admissions by the time at which this daemon learned of them, a ring
+	away         []float32 // what a fall of the share took out of slots, in the same order
 	created      time.Time
 	newest       int64 // number of the newest slot, as returned by slotNumber
 	updated      time.Time
@@ -105,7 +106,7 @@
 // this daemon started. The others may have used the whole limit before that.
 func NewWindow(now time.Time, past Past, limit Limit, tolerance Tolerance, r Reachable) *Window {
 	w := &Window{
-		limit: limit, tolerance: tolerance, slots: make([]float32, int(tolerance.Window/slotTime)+1),
+		limit: limit, tolerance: tolerance, slots: make([]float32, int(tolerance.Window/slotTime)+1), away: make([]float32, int(tolerance.Window/slotTime)+1),
 		created: now, updated: now, countedSince: now.Add(-past.Heard),
 	}
 	w.newest, _ = w.slotNumber(now)
@@ -143,11 +144,25 @@
 	}
 }
 
+// returnAway counts the admissions that are known of a returning share of the fleet, as far as
+// they exceed the even use that assumeUsed counts. That alone would let a bunch that was
+// admitted before the cut be admitted again.
+func (w *Window) returnAway(share, before float64) {
+	even := float32(share * (w.limit.Rate*w.tolerance.Window.Seconds() + w.limit.Burst) / float64(len(w.slots)-1))
+	part := float32(share / (1 - before))
+	for i := range w.slots {
+		returned := w.away[i] * part
+		w.slots[i] += max(returned-even, 0)
+		w.away[i] -= returned
+	}
+}
+
 // Restart forgets what this daemon knows after a pause, in which the others may have used
 // the whole limit, and keeps it to its share.
 func (w *Window) Restart(now time.Time, share float64) {
 	w.advance(now)
 	clear(w.slots)
+	clear(w.away)
 	w.ownFast, w.ownMean, w.remoteFast, w.remoteAdmitted, w.mean, w.slow = 0, 0, 0, 0, 0, 0
 	w.fleetShare, w.newShare, w.countedSince = min(max(share, 0), 1), share, now
 	w.assumeUsed(w.fleetShare, 0, share)
@@ -162,9 +177,12 @@
 }
 
 // slot returns the slot of the given age in slots.
-func (w *Window) slot(age int) *float32 {
+func (w *Window) slot(age int) *float32 { return &w.slots[w.index(age)] }
+
+// index returns the place in the ring of the slot of the given age.
+func (w *Window) index(age int) int64 {
 	n := int64(len(w.slots))
-	return &w.slots[((w.newest-int64(age))%n+n)%n]
+	return ((w.newest-int64(age))%n + n) % n
 }
 
 // advance drops the slots that left the window and decays the averages.
@@ -177,7 +195,7 @@
 	newest, _ := w.slotNumber(now)
 	for range min(newest-w.newest, int64(len(w.slots))) {
 		w.newest++
-		*w.slot(0) = 0
+		*w.slot(0), w.away[w.index(0)] = 0, 0
 	}
 	w.newest = newest
 	fast, mean := math.Exp(-elapsed/fastDemandTime.Seconds()), math.Exp(-elapsed/meanDemandTime.Seconds())
@@ -231,6 +249,7 @@
 	case share < before:
 		kept := share / before
 		for i := range w.slots {
+			w.away[i] += w.slots[i] * float32(1-kept)
 			w.slots[i] *= float32(kept)
 		}
 		w.remoteFast *= kept
@@ -238,6 +257,7 @@
 		w.slow *= kept
 		w.mean = w.ownMean + (w.mean-w.ownMean)*kept
 	case share > before:
+		w.returnAway(share-before, before)
 		w.assumeUsed(share-before, 0, max(before, w.newShare))
 	}
 }
--- a/limit/window_test.go
+++ b/limit/window_test.go
@@ -328,6 +328,33 @@
 	}
 }
 
+// TestWindowReturn guards against a bunch of admissions that is admitted again, because a
+// part of the fleet is lost and returns meanwhile: its share of the bunch must not come back
+// as an even use of the window.
+func TestWindowReturn(t *testing.T) {
+	l := Limit{Rate: 30, Burst: 30}
+	_, rule := perWindow(l)
+	for _, shares := range [][]float64{{4.0 / 6, 1}, {5.0 / 6, 4.0 / 6, 1}, {4.0 / 6, 1, 5.0 / 6, 1}, {0.5, 0.75, 1}} {
+		random := rand.New(rand.NewPCG(1, 1))
+		now, admitted := simStart, 0
+		w := NewWindow(now, Past{Started: now, Heard: time.Hour}, l, testTolerance, Reachable{Share: 1})
+		admit := func(length time.Duration) {
+			for end := now.Add(length); now.Before(end); now = now.Add(5 * time.Millisecond) {
+				if _, ok := w.Admit(now, random.Float64()); ok {
+					admitted++
+				}
+			}
+		}
+		admit(2 * time.Second)
+		for _, share := range shares {
+			w.SetReachable(now, Reachable{Share: share})
+			admit(500 * time.Millisecond)
+		}
+		admit(simStart.Add(window).Sub(now))
+		test.LessEq(t, rule, admitted, test.Sprint(shares))
+	}
+}
+
 // TestWindowResized guards against a lowered limit that does not bind within one window
 // after all hosts know it, and against a raised one that does not work at once.
 func TestWindowResized(t *testing.T) {
