--- a/limit/window.go
+++ b/limit/window.go
@@ -89,7 +89,9 @@
 	newShare   float64 // largest Reachable.NewShare while the past of the window is not known
 
 	slots        []float32 // admissions by the time at which this daemon learned of them, a ring
-	newest       int64     // number of the newest slot since the Unix epoch
+	away         []float32 // what a fall of the share took out of slots, in the same order
+	created      time.Time
+	newest       int64 // number of the newest slot, as returned by slotNumber
 	updated      time.Time
 	assumedAt    time.Time // when admissions were last assumed
 	reported     time.Time // when others last reported a request
@@ -107,9 +109,10 @@
 // this daemon started. The others may have used the whole limit before that.
 func NewWindow(now time.Time, past Past, limit Limit, tolerance Tolerance, r Reachable) *Window {
 	w := &Window{
-		limit: limit, tolerance: tolerance, slots: make([]float32, int(tolerance.Window/slotTime)+1),
-		newest: now.UnixNano() / int64(slotTime), updated: now, countedSince: now.Add(-past.Heard),
+		limit: limit, tolerance: tolerance, slots: make([]float32, int(tolerance.Window/slotTime)+1), away: make([]float32, int(tolerance.Window/slotTime)+1),
+		created: now, updated: now, countedSince: now.Add(-past.Heard),
 	}
+	w.newest, _ = w.slotNumber(now)
 	w.fleetShare, w.newShare = min(max(r.Share, 0), 1), r.NewShare
 	if past.Heard < tolerance.Window {
 		w.assumeUsed(w.fleetShare, past.Heard, r.NewShare)
@@ -144,20 +147,45 @@
 	}
 }
 
+// returnAway counts the admissions that are known of a returning share of the fleet, as far as
+// they exceed the even use that assumeUsed counts. That alone would let a bunch that was
+// admitted before the cut be admitted again.
+func (w *Window) returnAway(share, before float64) {
+	even := float32(share * (w.limit.Rate*w.tolerance.Window.Seconds() + w.limit.Burst) / float64(len(w.slots)-1))
+	part := float32(share / (1 - before))
+	for i := range w.slots {
+		returned := w.away[i] * part
+		w.slots[i] += max(returned-even, 0)
+		w.away[i] -= returned
+	}
+}
+
 // Restart forgets what this daemon knows after a pause, in which the others may have used
 // the whole limit, and keeps it to its share.
 func (w *Window) Restart(now time.Time, share float64) {
 	w.advance(now)
 	clear(w.slots)
+	clear(w.away)
 	w.ownFast, w.ownMean, w.remoteFast, w.remoteAdmitted, w.mean, w.slow = 0, 0, 0, 0, 0, 0
 	w.fleetShare, w.newShare, w.countedSince = min(max(share, 0), 1), share, now
 	w.assumeUsed(w.fleetShare, 0, share)
 }
 
+// slotNumber returns the number of the slot of a time, and the elapsed part of that slot. It
+// counts from the creation of the window, since a step of the wall clock would drop or mix
+// the slots.
+func (w *Window) slotNumber(now time.Time) (number int64, elapsed time.Duration) {
+	since := time.Duration(w.created.UnixNano()%int64(slotTime)) + now.Sub(w.created)
+	return int64(since / slotTime), since % slotTime
+}
+
 // slot returns the slot of the given age in slots.
-func (w *Window) slot(age int) *float32 {
+func (w *Window) slot(age int) *float32 { return &w.slots[w.index(age)] }
+
+// index returns the place in the ring of the slot of the given age.
+func (w *Window) index(age int) int64 {
 	n := int64(len(w.slots))
-	return &w.slots[((w.newest-int64(age))%n+n)%n]
+	return ((w.newest-int64(age))%n + n) % n
 }
 
 // advance drops the slots that left the window and decays the averages.
@@ -167,10 +195,10 @@
 		return
 	}
 	w.updated = now
-	newest := now.UnixNano() / int64(slotTime)
+	newest, _ := w.slotNumber(now)
 	for range min(newest-w.newest, int64(len(w.slots))) {
 		w.newest++
-		*w.slot(0) = 0
+		*w.slot(0), w.away[w.index(0)] = 0, 0
 	}
 	w.newest = newest
 	fast, mean := math.Exp(-elapsed/fastDemandTime.Seconds()), math.Exp(-elapsed/meanDemandTime.Seconds())
@@ -185,7 +213,8 @@
 // sum returns the known admissions of the last length, with a part of the oldest slot.
 func (w *Window) sum(length time.Duration) float64 {
 	sum, age := float64(*w.slot(0)), 1
-	slots := length.Seconds()/slotTime.Seconds() - float64(w.updated.UnixNano()%int64(slotTime))/float64(slotTime)
+	_, elapsed := w.slotNumber(w.updated)
+	slots := length.Seconds()/slotTime.Seconds() - float64(elapsed)/float64(slotTime)
 	for ; slots >= 1 && age < len(w.slots); slots-- {
 		sum += float64(*w.slot(age))
 		age++
@@ -223,13 +252,16 @@
 	case share < before:
 		kept := share / before
 		for age := int(noticeTime / slotTime); age < len(w.slots); age++ {
-			*w.slot(age) *= float32(kept)
+			count, i := w.slot(age), w.index(age)
+			w.away[i] += *count * float32(1-kept)
+			*count *= float32(kept)
 		}
 		w.remoteFast *= kept
 		w.remoteAdmitted *= kept
 		w.slow *= kept
 		w.mean = w.ownMean + (w.mean-w.ownMean)*kept
 	case share > before:
+		w.returnAway(share-before, before)
 		w.assumeUsed(share-before, 0, max(before, w.newShare))
 	}
 }
@@ -291,7 +323,8 @@
 	fast := w.ownFast + remote
 	mean := w.mean / (1 - math.Exp(-max(w.updated.Sub(w.countedSince), reportDelay).Seconds()/meanDemandTime.Seconds()))
 	noise := noiseDeviations * math.Sqrt(fast/(2*fastDemandTime.Seconds()))
-	used := w.sum(w.tolerance.Window-reportDelay) + unreported
+	// The whole window counts too: its oldest admissions were this daemon's own, or reported early.
+	used := max(w.sum(w.tolerance.Window-reportDelay)+unreported, w.sum(w.tolerance.Window))
 
 	if w.updated.Before(w.assumedUntil) && w.fleetShare > 0 {
 		extra := newShareTolerance * tolerance * min(1, w.newShare/max(w.fleetShare, minDemand))
