place, proxy: the wait for cold targets counts those that a request may use

A request that only cold targets could serve was refused without the Retry-After of their warm-up, and with another reason, if the pool had warm targets outside of its allowed regions or in evacuated domains: ColdWait took those for available.

TestColdWaitAllowed fails without the change.

--- a/place/cold.go
+++ b/place/cold.go
@@ -354,20 +354,20 @@
 	return count
 }
 
-// ColdWait returns the time after which a request that found no target of the pool may
-// succeed, if all targets that take requests are cold, or else 0. It is the time in which
+// ColdWait returns the time after which a request that found no target may
+// succeed, if all targets that may get it are cold, or else 0. It is the time in which
 // the pool serves the requests of one second at the rate of its cold targets, but ends when
 // the first of them is warm.
-func (b *Balancer) ColdWait(now time.Time, id model.PoolID) time.Duration {
+func (b *Balancer) ColdWait(now time.Time, r *Request) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	p, rule := b.pools[id], b.coldRule(id)
+	p, rule := b.pools[r.Pool], b.coldRule(r.Pool)
 	if p == nil || rule == nil {
 		return 0
 	}
 	firstWarm, count := time.Duration(math.MaxInt64), 0
 	for _, t := range p.targets {
-		if t.acceptsRequests(now) {
+		if t.acceptsRequests(now) && r.allows(t) && !b.evacuation.domains[t.Domain] {
 			firstWarm = min(firstWarm, max(t.coldUntil(rule).Sub(now), 0))
 			count++
 		}
--- a/place/cold_test.go
+++ b/place/cold_test.go
@@ -390,16 +390,32 @@
 	b.AddRemotePoolRequests(now, "p", 0)
 	now = now.Add(10 * coldDemandTime)
 	update(now, func(i *model.Instance) { i.Revision = 2 })
-	test.Eq(t, 250*time.Millisecond, b.ColdWait(now, "p"))
+	test.Eq(t, 250*time.Millisecond, b.ColdWait(now, &Request{Pool: "p"}))
 	for range 700 {
 		now = now.Add(10 * time.Millisecond)
 		b.AddRemotePoolRequests(now, "p", 0.12)
 	}
-	test.Between(t, time.Second, b.ColdWait(now, "p"), 2*time.Second) // the rest of the cold time
+	test.Between(t, time.Second, b.ColdWait(now, &Request{Pool: "p"}), 2*time.Second) // the rest of the cold time
 	update(now, func(i *model.Instance) { i.Revision = 3 })
-	test.Between(t, 2500*time.Millisecond, b.ColdWait(now, "p"), 3500*time.Millisecond)
+	test.Between(t, 2500*time.Millisecond, b.ColdWait(now, &Request{Pool: "p"}), 3500*time.Millisecond)
 	update(now, func(i *model.Instance) { i.Revision, i.Cold = 4, 0 })
-	test.Eq(t, 0, b.ColdWait(now, "p"))
+	test.Eq(t, 0, b.ColdWait(now, &Request{Pool: "p"}))
 	rule.ColdRate = nil
-	test.Eq(t, 0, b.ColdWait(now, "p"))
+	test.Eq(t, 0, b.ColdWait(now, &Request{Pool: "p"}))
+}
+
+// TestColdWaitAllowed guards against a refusal that takes a pool for warm, because of targets
+// that the request may not use.
+func TestColdWaitAllowed(t *testing.T) {
+	now := time.Unix(0, 0)
+	rate := model.Rate(4)
+	b := NewBalancer(Location{Region: "r", Domain: "d"}, WithPools(func(model.PoolID) (*model.Pool, bool) { return &model.Pool{ColdRate: &rate}, true }))
+	b.Update(now, map[model.PoolID][]*model.Instance{"p": {
+		{Pool: "p", HasCold: true, Cold: 9000, Target: model.Target{ID: "cold", Region: "r", Domain: "d", Slots: 3}},
+		{Pool: "p", Target: model.Target{ID: "warm", Region: "s", Domain: "e", Slots: 3}},
+	}})
+	test.Eq(t, 0, b.ColdWait(now, &Request{Pool: "p"}))
+	test.Eq(t, 250*time.Millisecond, b.ColdWait(now, &Request{Pool: "p", Regions: []model.Region{"r"}}))
+	b.SetEvacuated(evacuated("e"))
+	test.Eq(t, 250*time.Millisecond, b.ColdWait(now, &Request{Pool: "p"}))
 }
--- a/proxy/cold.go
+++ b/proxy/cold.go
@@ -3,13 +3,14 @@
 import (
 	"time"
 
+	"rhubarbdrift.example/place"
 	"rhubarbdrift.example/refuse"
 )
 
 // refuseWithoutTarget returns the refusal of a request for which no target takes it now.
 func (d *dispatch) refuseWithoutTarget() *response {
 	reason := "no target of the pool takes requests"
-	if d.proxy.deps.Balancer.ColdWait(time.Now(), d.pool) > 0 {
+	if d.proxy.deps.Balancer.ColdWait(time.Now(), &place.Request{Pool: d.pool, Regions: d.regions}) > 0 {
 		d.proxy.metrics.coldRefusals.Inc(1)
 		reason = "the targets of the pool warm up"
 	}
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -212,8 +212,8 @@
 // cold targets can serve more. It is spread, so that callers don't return all at once, and
 // shorter for the most urgent requests, so that these return first.
 func (d *dispatch) returnDelay() time.Duration {
-	now, balancer := time.Now(), d.proxy.deps.Balancer
-	earliest := min(max(d.usualTime(), balancer.PauseLeft(now, &place.Request{Pool: d.pool, Regions: d.regions}), balancer.ColdWait(now, d.pool)), maxReturnDelay)
+	now, balancer, request := time.Now(), d.proxy.deps.Balancer, &place.Request{Pool: d.pool, Regions: d.regions}
+	earliest := min(max(d.usualTime(), balancer.PauseLeft(now, request), balancer.ColdWait(now, request)), maxReturnDelay)
 	spread := time.Duration(rand.Int64N(int64(earliest)/2 + 1))
 	if d.urgent() {
 		return earliest + spread
