caller: memory of a connection closed for a new one is released before the new one asks for it

While the account was full, a new caller was turned away although idle connections had just been closed for it: their memory was released only when their goroutines ended, and the new connection asked before.

TestMemoryOfIdle fails before: the connection is reset.

--- a/caller/memory_test.go
+++ b/caller/memory_test.go
@@ -81,3 +81,22 @@
 	next.Release()
 	test.Eq(t, int64(0), a.Status().Total)
 }
+
+// TestMemoryOfIdle guards against new callers that are turned away although idle connections
+// were closed to give them memory.
+func TestMemoryOfIdle(t *testing.T) {
+	a := budget.New(budget.Limits{Total: 4 * budget.ConnectionBytes, Caller: 1 << 20, Connection: 1 << 20})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	s := New(newHandler(), Limits{HeaderBytes: 4 << 10, HeaderTimeout: time.Second, IdleTimeout: time.Minute, Requests: 4, Bytes: 8 << 10}, WithAccount(a))
+	go func() { _ = s.Serve(ln) }()
+	t.Cleanup(func() { _ = s.Close() })
+	for range 20 { // each leaves an idle connection
+		c := dial(t, ln.Addr().String())
+		c.send("GET /now HTTP/1.1\r\nHost: h\r\n\r\n")
+		resp, err := http.ReadResponse(c.in, nil)
+		must.NoError(t, err)
+		test.Eq(t, http.StatusOK, resp.StatusCode)
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- a/caller/room.go
+++ b/caller/room.go
@@ -128,5 +128,6 @@
 	c.breakOff()
 	c.wake()
 	_ = c.nc.Close()
+	c.buffers.Release() // for the new connection, before the goroutine of this one has ended
 	return true
 }
