entry, cmds: explain tells where a request would go, without sending it

rhubarbdrift explain asks an entry host on its readiness address for the route, the customer's limit, and the state and cost of each target. Place, limit, hedge and proxy explain from copies of their state; the decisions share the code.

--- a/cmds/root.go
+++ b/cmds/root.go
@@ -84,7 +84,7 @@
 		return fault.Wrap(usageKind, err, "wrong command line", "see the command's --help")
 	})
 	root.AddCommand(newDaemon(), newEntry(), newCheck(), newKey(), newVersion(),
-		newPlan(), newConfirm(), newShow(), newStatus(), newAudit())
+		newPlan(), newConfirm(), newShow(), newStatus(), newAudit(), newExplain())
 	root.AddCommand(devcmd.Commands()...)
 	return root
 }
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -21,8 +21,8 @@
 	deregisterTime = 400 * time.Millisecond
 	// shareInterval is how often the share of the limits is updated.
 	shareInterval = 50 * time.Millisecond
-	// metricsPath is the path of the metrics. Every other path on the address is
-	// the load balancer's readiness check.
+	// metricsPath is the path of the metrics. Every other path on the address except
+	// ExplainPath is the load balancer's readiness check.
 	metricsPath = "/metrics"
 )
 
@@ -61,6 +61,7 @@
 func (e *Entry) readinessServer() *serve.NetHTTP {
 	mux := http.NewServeMux()
 	mux.Handle(metricsPath, e.meter.NetHTTPHandler())
+	mux.Handle(ExplainPath, explainHandler(e.proxy.Explain))
 	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
 		if !e.isReady() {
 			w.WriteHeader(http.StatusServiceUnavailable)
--- a/hedge/hedge_test.go
+++ b/hedge/hedge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"reflect"
 	"testing"
 	"time"
 
@@ -117,3 +118,22 @@
 	test.EqOp(t, delay, s.Delay(now.Add(period), key, time.Hour))
 	test.EqOp(t, time.Hour, s.Delay(now.Add(2*period), key, time.Hour))
 }
+
+// TestExplain guards against an explanation that rotates latencies or uses the account.
+func TestExplain(t *testing.T) {
+	build := func() *Set {
+		s := NewSet(Policy{Share: 0.5, Quantile: 0.9}, nil)
+		for range minSamples {
+			s.Record(time.Unix(0, 0), Key{"r", "p"}, 100*time.Millisecond)
+		}
+		s.CountRequests("p", 10)
+		return s
+	}
+	s := build()
+	delay, refusal := s.Explain(time.Unix(0, 0).Add(period), "p", Key{"r", "p"}, willing, time.Second)
+	test.Between(t, 99*time.Millisecond, delay, 101*time.Millisecond)
+	test.EqOp(t, Allowed, refusal)
+	_, refusal = s.Explain(time.Unix(0, 0), "other", Key{"r", "other"}, willing, time.Second)
+	test.EqOp(t, OverShare, refusal)
+	test.True(t, reflect.DeepEqual(build(), s))
+}
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -165,17 +165,30 @@
 func (b *Bucket) Admit(now time.Time, chance float64) (retryDelay time.Duration, ok bool) {
 	b.advance(now)
 	b.demand += 1 / demandTimeConstant.Seconds()
-	if b.tokens < 1 && (now.Sub(b.started) >= model.WarmUpPeriod || chance >= b.tokens) {
-		return b.retryDelay(), false
-	}
-	highDemand := b.rate() + demandDeviations*math.Sqrt(b.rate()*demandTimeConstant.Seconds())
-	if b.tokens < throttleShare*b.capacity() && b.demand > highDemand && chance > b.rate()/b.demand {
+	if held, throttled := b.bounds(now); chance >= held || chance > throttled {
 		return b.retryDelay(), false
 	}
 	b.tokens--
 	return 0, true
 }
 
+// bounds returns the chances below which, and up to which, a request is admitted: by the
+// tokens, and by the demand. They are infinite where there is no bound.
+func (b *Bucket) bounds(now time.Time) (held, throttled float64) {
+	held, throttled = math.Inf(1), math.Inf(1)
+	if b.tokens < 1 {
+		held = b.tokens
+		if now.Sub(b.started) >= model.WarmUpPeriod {
+			held = 0
+		}
+	}
+	highDemand := b.rate() + demandDeviations*math.Sqrt(b.rate()*demandTimeConstant.Seconds())
+	if b.tokens < throttleShare*b.capacity() && b.demand > highDemand {
+		throttled = b.rate() / b.demand
+	}
+	return held, throttled
+}
+
 // Cancel puts back the token of an admitted request that was not sent. The buckets of
 // other daemons stay as they are.
 func (b *Bucket) Cancel() { b.tokens = min(b.tokens+1, b.capacity()) }
--- a/limit/pacer.go
+++ b/limit/pacer.go
@@ -140,6 +140,16 @@
 	if p.fleetShare <= 0 {
 		return false
 	}
+	if chance >= p.probability(urgent, possible) {
+		return false
+	}
+	p.tokens -= p.price()
+	return true
+}
+
+// probability counts the demand of a request and returns the probability with which it is
+// admitted, which may be below 0 or above 1.
+func (p *Pacer) probability(urgent bool, possible float64) float64 {
 	level := p.tokens / p.capacity()
 	share := urgentShare * min(level/balancedLevel, maxShare)
 	wanted, demand := Demand{Urgent: 1}, &p.demand.Urgent
@@ -149,9 +159,5 @@
 		wanted, demand = Demand{Other: 1}, &p.demand.Other
 	}
 	p.addDemand(wanted)
-	if chance >= share*p.rate*p.fleetShare/max(*demand, possible) {
-		return false
-	}
-	p.tokens -= p.price()
-	return true
+	return share * p.rate * p.fleetShare / max(*demand, possible)
 }
--- a/limit/set.go
+++ b/limit/set.go
@@ -25,6 +25,8 @@
 	Resize(now time.Time, limit Limit)
 	// Cancel takes back an admitted request that was not sent.
 	Cancel()
+	// explain returns the state and changes nothing.
+	explain(now time.Time) State
 }
 
 // customer is the account of a customer with the limit that it was resized to.
--- a/place/choose.go
+++ b/place/choose.go
@@ -190,7 +190,7 @@
 	rule := b.coldRule(r.Pool)
 	for _, t := range p.targets {
 		switch {
-		case !t.acceptsRequests(now) || !r.allows(t) || b.evacuation.domains[t.Domain] || slices.Contains(r.Tried, t.ID):
+		case b.stateOf(now, t, r) != StateEligible:
 		case t.coldPacer(now, rule) != nil:
 			cold = append(cold, t)
 		case t.announced.pacer != nil:
@@ -280,8 +280,22 @@
 	return unsafeFailureCost
 }
 
+// Cost holds the parts of the expected cost, in seconds, of sending a request to a target.
+type Cost struct {
+	Work     float64 `json:"work"`     // the usual duration, with the slowdown by load below the number of slots
+	Queue    float64 `json:"queue"`    // waiting for a free slot
+	Failure  float64 `json:"failure"`  // risk of failure
+	Distance float64 `json:"distance"` // round trip and bytes to another domain or region
+}
+
 // cost returns the expected cost in seconds of sending the request to the target.
 func (b *Balancer) cost(now time.Time, t *Target, r Request) float64 {
+	_, total := b.costParts(now, t, r)
+	return total
+}
+
+// costParts returns the cost by part and in total. The caller holds b.mu.
+func (b *Balancer) costParts(now time.Time, t *Target, r Request) (c Cost, total float64) {
 	load := t.estimatedLoad(now)
 	slots := float64(max(t.Slots, 1))
 	work := r.UsualSeconds
@@ -290,15 +304,18 @@
 	}
 	// Up to its number of slots, a target slows down only slightly with load: by 30%
 	// if all are in use. Beyond it, requests are queued until others end.
-	c := work * (1 + 0.3*load/slots + max(0, load+1-slots)/slots)
-	c += failureCost(r) * t.risk(now)
+	slowdown, queue := 0.3*load/slots, max(0, load+1-slots)/slots
+	c = Cost{Work: work * (1 + slowdown), Queue: work * queue, Failure: failureCost(r) * t.risk(now)}
 	switch {
 	case t.Region != b.location.Region:
-		c += regionRoundTrip + regionCostPerByte*r.Bytes
+		c.Distance = regionRoundTrip + regionCostPerByte*r.Bytes
 	case t.Domain != b.location.Domain:
-		c += domainRoundTrip + domainCostPerByte*r.Bytes
+		c.Distance = domainRoundTrip + domainCostPerByte*r.Bytes
 	}
-	return c
+	// Not the sum of the parts: its rounding could change the choice between almost equal costs.
+	total = work * (1 + slowdown + queue)
+	total += c.Failure
+	return c, total + c.Distance
 }
 
 // warmsUp reports whether the target is slow because it is cold.
--- a/place/cold.go
+++ b/place/cold.go
@@ -376,7 +376,8 @@
 		return 0
 	}
 	rate := max(float64(*rule.ColdRate), limit.MinRate) * float64(count) * b.fleetShare
-	backlog := max(p.coldDemand.requests(now), 1) / max(rate, limit.MinRate)
+	demand := p.coldDemand // a copy: asking must not change the averages
+	backlog := max(demand.requests(now), 1) / max(rate, limit.MinRate)
 	return min(firstWarm, time.Duration(min(backlog, maxColdBacklog)*float64(time.Second)))
 }
 
--- a/place/spare.go
+++ b/place/spare.go
@@ -38,7 +38,7 @@
 	slices.Sort(risks)
 	median := risks[len(risks)/2]
 	for _, t := range slices.Concat(usable.local, usable.remote) {
-		if !t.warmsUp(now) && !slices.Contains(r.Tried, t.ID) && t.estimatedLoad(now)+1 <= float64(t.Slots) && t.risk(now)-median < suspectRisk {
+		if !slices.Contains(r.Tried, t.ID) && t.isSpare(now, median) {
 			spare.add(t, b.location.Region)
 		}
 	}
@@ -47,3 +47,9 @@
 	}
 	return chosen, load / slots
 }
+
+// isSpare reports whether the target has a free slot and is neither cold nor suspected. Median
+// is the risk of the pool's median target. The caller holds the balancer's lock.
+func (t *Target) isSpare(now time.Time, median float64) bool {
+	return !t.warmsUp(now) && t.estimatedLoad(now)+1 <= float64(t.Slots) && t.risk(now)-median < suspectRisk
+}
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -24,6 +24,8 @@
 	// shortRetryDelay is the Retry-After if another daemon may serve the request at
 	// once or no target could be reached, and the minimum after a rate limit's refusal.
 	shortRetryDelay = 100 * time.Millisecond
+	// limitMessage is the message of a rate limit's refusal.
+	limitMessage = "the customer is above its rate and burst"
 	// defaultMaxBodyBytes is the maximum request body of a route without a limit.
 	defaultMaxBodyBytes = 64 << 20
 )
@@ -194,6 +196,11 @@
 	if ok {
 		c.hasKey, c.keyDigest = true, model.DigestOf([]byte(key))
 	}
+	return c.resolveCustomer()
+}
+
+// resolveCustomer is authenticate with a known digest of the key.
+func (c *call) resolveCustomer() *response {
 	if (c.hasKey || !c.route.Open) && c.keysExpired() {
 		return staleRefusal()
 	}
@@ -240,13 +247,18 @@
 	return refusal(refuse.New(refuse.KindKey, refuse.NotRun, "the key was withdrawn", "ask an operator for a key"), 0)
 }
 
+// maxBodyBytes returns the largest request body of the route.
+func (c *call) maxBodyBytes() int64 {
+	if c.route.MaxBodyBytes > 0 {
+		return int64(c.route.MaxBodyBytes)
+	}
+	return defaultMaxBodyBytes
+}
+
 // readBody buffers the whole body, so that the request can be sent again. The memory for a
 // body of known length is reserved before it is read, otherwise step by step.
 func (c *call) readBody() *response {
-	maxBytes := int64(defaultMaxBodyBytes)
-	if c.route.MaxBodyBytes > 0 {
-		maxBytes = int64(c.route.MaxBodyBytes)
-	}
+	maxBytes := c.maxBodyBytes()
 	if c.request.ContentLength > maxBytes {
 		return tooLargeRefusal()
 	}
@@ -321,7 +333,7 @@
 		c.admitted = true
 		return nil
 	}
-	return refusal(refuse.New(refuse.KindLimit, refuse.NotRun, "the customer is above its rate and burst", "slow down"), max(wait, shortRetryDelay))
+	return refusal(refuse.New(refuse.KindLimit, refuse.NotRun, limitMessage, "slow down"), max(wait, shortRetryDelay))
 }
 
 // exchangeContext returns the context of the request's exchanges. It ends at the
--- a/proxy/cold.go
+++ b/proxy/cold.go
@@ -10,7 +10,6 @@
 func (d *dispatch) refuseWithoutTarget() *response {
 	reason := "no target of the pool takes requests"
 	if d.proxy.deps.Balancer.ColdWait(time.Now(), d.pool) > 0 {
-		d.proxy.metrics.coldRefusals.Inc(1)
 		reason = "the targets of the pool warm up"
 	}
 	return refusal(refuse.New(refuse.KindBusy, refuse.NotRun, reason, "retry later"), d.returnDelay())
--- a/proxy/regions.go
+++ b/proxy/regions.go
@@ -51,10 +51,24 @@
 // regionsRefusal returns the refusal of a request that no target may serve because of its
 // allowed regions.
 func (c *call) regionsRefusal() *response {
-	message := "no target of the pool is in the regions that the route and the customer allow"
+	c.recordRegionsRefusal()
+	return c.regionsResponse()
+}
+
+func (c *call) regionsMessage() string {
 	if len(c.regions) == 0 {
-		message = "the route and the customer allow no region in common"
+		return "the route and the customer allow no region in common"
 	}
+	return "no target of the pool is in the regions that the route and the customer allow"
+}
+
+func (c *call) regionsResponse() *response {
+	return refusal(refuse.New(refuse.KindBusy, refuse.NotRun, c.regionsMessage(), "retry later, or ask an operator to change the allowed regions"), placementDelay())
+}
+
+// recordRegionsRefusal counts the refusal, and logs the first of each configuration.
+func (c *call) recordRegionsRefusal() {
+	message := c.regionsMessage()
 	c.proxy.metrics.regionRefusals.Inc(1)
 	if version := c.proxy.deps.Snapshot().Version(); c.proxy.regionsLogged.isNew(version) {
 		e := c.proxy.log.Warn().Str("request", c.id).Str("route", string(c.route.ID)).Str("pool", string(c.pool)).Uint64("version", uint64(version))
@@ -63,7 +77,6 @@
 		}
 		e.Any("regions", c.regions).Str("cause", message).Msg("no target in the allowed regions; further requests of this configuration are not logged")
 	}
-	return refusal(refuse.New(refuse.KindBusy, refuse.NotRun, message, "retry later, or ask an operator to change the allowed regions"), placementDelay())
 }
 
 // versionMark remembers the newest configuration version that was logged.
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -165,11 +165,26 @@
 
 // noTargetRefusal returns the refusal of a request for which no target was found.
 func (d *dispatch) noTargetRefusal(criteria *place.Request) *response {
-	switch d.proxy.deps.Balancer.Exclusion(time.Now(), criteria) {
+	exclusion := d.proxy.deps.Balancer.Exclusion(time.Now(), criteria)
+	switch exclusion {
 	case place.ExcludedByRegions:
-		return d.regionsRefusal()
+		d.recordRegionsRefusal()
 	case place.ExcludedByEvacuation:
 		d.proxy.metrics.evacuationRefusals.Inc(1)
+	case place.NotExcluded:
+		if d.proxy.deps.Balancer.ColdWait(time.Now(), d.pool) > 0 {
+			d.proxy.metrics.coldRefusals.Inc(1)
+		}
+	}
+	return d.noTargetResponse(exclusion)
+}
+
+// noTargetResponse returns the refusal for an exclusion without counting it.
+func (d *dispatch) noTargetResponse(exclusion place.Exclusion) *response {
+	switch exclusion {
+	case place.ExcludedByRegions:
+		return d.regionsResponse()
+	case place.ExcludedByEvacuation:
 		return refusal(refuse.New(refuse.KindBusy, refuse.NotRun, "all targets that may serve the request are in evacuated failure domains", "retry later"), placementDelay())
 	case place.ExcludedByOutdatedList:
 		return refusal(refuse.New(refuse.KindStale, refuse.NotRun, "this daemon may not know all evacuated failure domains", "retry, which may reach another daemon"), shortRetryDelay)
