--- a/hedge/hedge_test.go
+++ b/hedge/hedge_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"testing"
 	"time"
 
@@ -133,3 +134,22 @@
 	test.MapContainsKey(t, s.latencies, Key{"stays", "p"})
 	test.LessEq(t, 4, len(s.latencies))
 }
+
+// TestExplain guards against an explanation that rotates latencies or uses the account.
+func TestExplain(t *testing.T) {
+	build := func() *Set {
+		s := NewSet(Policy{Share: 0.5, Quantile: 0.9}, nil)
+		for range minSamples {
+			s.Record(time.Unix(0, 0), Key{"r", "p"}, 100*time.Millisecond)
+		}
+		s.CountRequests("p", 10)
+		return s
+	}
+	s := build()
+	delay, refusal := s.Explain(time.Unix(0, 0).Add(period), "p", Key{"r", "p"}, willing, time.Second)
+	test.Between(t, 99*time.Millisecond, delay, 101*time.Millisecond)
+	test.EqOp(t, Allowed, refusal)
+	_, refusal = s.Explain(time.Unix(0, 0), "other", Key{"r", "other"}, willing, time.Second)
+	test.EqOp(t, OverShare, refusal)
+	test.True(t, reflect.DeepEqual(build(), s))
+}
