--- a/cmds/explain.go
+++ b/cmds/explain.go
@@ -36,15 +36,12 @@
 	var q proxy.Query
 	var asJSON bool
 	flags := c.Flags()
-	flags.StringVar(&address, "host", "", "readiness address of the entry host, IP address and port")
+	flags.StringVar(&address, "host", "", "readiness address of the entry host, IP address and port (required)")
 	flags.StringVar(&q.Method, "method", "GET", "method of the request")
-	flags.StringVar(&target, "url", "", "host and path of the request")
+	flags.StringVar(&target, "url", "", "host and path of the request (required)")
 	flags.StringVar(&keyFile, "key-file", "", "file with the caller's key")
 	flags.Int64Var(&q.Bytes, "bytes", 0, "size of the request's body")
 	flags.BoolVar(&asJSON, "json", false, "print JSON")
-	for _, name := range []string{"host", "url"} {
-		_ = c.MarkFlagRequired(name) // fails only for an unknown flag
-	}
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		var err error
 		if q.Host, q.Path, err = splitURL(target); err != nil {
