--- a/place/explain_test.go
+++ b/place/explain_test.go
@@ -57,7 +57,7 @@
 		asked.ColdWait(at, &Request{Pool: "p"})
 	}
 	for _, b := range []*Balancer{asked, untouched} {
-		b.reportDemand, b.configured, b.reportCold = nil, nil, nil // functions are never equal
+		b.reportDemand, b.configured, b.reportCold, b.checkPause = nil, nil, nil, nil // functions are never equal
 	}
 	test.True(t, reflect.DeepEqual(asked, untouched))
 	must.Len(t, 9, e.Targets)
