store, cmds: an answer without end is not read beyond a limit

Callers lost their requests in progress when the store, or another server at its address, sent one header with a large length: the host's process ended.

Cause: the store's client and the commands read answers without a limit. For an announced length or the size of one chunk, the library allocates that much at once, so that "Content-Length:" ends the process before a byte of the body arrives. A body without a length grows until the call's deadline, which is that of a watch.

Change: answers are read up to 8 MiB by an entry host, whose platform sends lists in pages of about 1 MB, up to an eighth of the memory (at least 16 MiB) by a daemon, whose platform sends lists whole, and up to 256 MiB by the commands. A list of several pages is read up to four answers. A watch whose changes do not fit into one answer counts as discarded history, so that the objects are listed again in pages instead of asking for the same changes for ever.

--- a/budget/machine.go
+++ b/budget/machine.go
@@ -16,6 +16,11 @@
 	// machine. The rest is for memory that the runtime does not count, such as the
 	// program itself and the buffers of sockets.
 	runtimeShare = 0.8
+	// storePart is the divisor of the memory of the machine that one answer of the store may
+	// take, and minStoreAnswer the least that it may: a list of 11 of the largest objects, in
+	// base64.
+	storePart      = 8
+	minStoreAnswer = 16 << 20
 	// fileDescriptors are kept for files, or a quarter if there are few in all.
 	fileDescriptors = 200
 	// peerPart is the divisor of the part that is kept for other hosts and the store.
@@ -29,6 +34,10 @@
 // in bytes.
 func RuntimeLimit(memory int64) int64 { return int64(runtimeShare * float64(memory)) }
 
+// StoreAnswer returns the size in bytes of the largest answer of the store that a machine
+// with a memory in bytes reads.
+func StoreAnswer(memory int64) int { return int(max(memory/storePart, minStoreAnswer)) }
+
 // Connections divides the descriptors of a process: it returns the largest numbers of
 // connections from callers and to targets. The others are kept for files, other hosts and
 // the store. Connections of callers use at most half of the account.
--- a/cmds/client.go
+++ b/cmds/client.go
@@ -18,6 +18,8 @@
 	credentialVariable = "RHUBARBDRIFT_CREDENTIAL"
 	// adminTimeout bounds one call of the administration API.
 	adminTimeout = 15 * time.Second
+	// maxAnswerBytes is the largest answer of a daemon that is read.
+	maxAnswerBytes = 256 << 20
 	// defaultAdmin is the address of the administration API in the sample settings.
 	defaultAdmin = "127.0.0.1:8082"
 )
@@ -38,10 +40,7 @@
 	req.Header.SetMethod(method)
 	req.Header.Set("Authorization", "Bearer "+os.Getenv(credentialVariable))
 	req.SetBody(body)
-	// The client must not retry on its own: a confirmation may have been committed
-	// although its response was lost.
-	client := &fasthttp.Client{MaxIdemponentCallAttempts: 1}
-	if err := client.DoTimeout(req, resp, adminTimeout); err != nil {
+	if err := sendCall(req, resp); err != nil {
 		return nil, fault.Wrap(fault.KindUnknown, err, "the administration API at "+address+" gave no answer",
 			"check the address with --admin; run the command again, which is harmless")
 	}
@@ -55,6 +54,13 @@
 	return answer, nil
 }
 
+// sendCall sends a call to a daemon once and reads its answer. The client must not retry on its
+// own: a confirmation may have been committed although its response was lost.
+func sendCall(req *fasthttp.Request, resp *fasthttp.Response) error {
+	client := &fasthttp.Client{MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxAnswerBytes}
+	return client.DoTimeout(req, resp, adminTimeout)
+}
+
 // responseError decodes the response to a call that the daemon refused. It returns
 // an error of the kind that the daemon reported.
 func responseError(body []byte) error {
--- a/cmds/explain.go
+++ b/cmds/explain.go
@@ -106,7 +106,7 @@
 	req.Header.SetMethod(fasthttp.MethodPost)
 	req.Header.SetContentType("application/json")
 	req.SetBody(body)
-	if err := fasthttp.DoTimeout(req, resp, adminTimeout); err != nil {
+	if err := sendCall(req, resp); err != nil {
 		return nil, fault.Wrap(fault.KindUnavailable, err, "the host at "+address+" gave no answer", "check the readiness address with --host")
 	}
 	if resp.StatusCode() != fasthttp.StatusOK {
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -88,7 +88,7 @@
 }
 
 func (d *Daemon) buildStore() error {
-	client := store.NewClient(d.settings.Platform)
+	client := store.NewClient(d.settings.Platform, store.WithMaxAnswer(budget.StoreAnswer(d.machine.Memory)))
 	if err := kernel.Provide[store.Store](d.services, nameStore, client); err != nil {
 		return err
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -60,6 +60,8 @@
 	idleTimeout = 8 * time.Second
 	// maxAnswerBytes is the largest answer that is buffered for a caller.
 	maxAnswerBytes = 8 << 20
+	// maxStoreAnswer bounds one answer of the store, whose pages have about 1 MB.
+	maxStoreAnswer = 8 << 20
 	// maxTargetConnections bounds the connections to one target.
 	maxTargetConnections = 64
 	// maxHeaderBytes bounds the header of a request. The limit is a requirement of the
@@ -175,7 +177,7 @@
 // client returns a client of the store that lets it hold a watch for up to wait.
 func (e *Entry) client(wait time.Duration) *store.Client {
 	return store.NewClient("http://"+e.settings.StoreAddress, store.WithDialect(e.adapter.Dialect()),
-		store.WithMaxWatchWait(wait), store.WithWatchTimeout(wait+answerWait), store.WithTimeout(answerWait))
+		store.WithMaxWatchWait(wait), store.WithWatchTimeout(wait+answerWait), store.WithTimeout(answerWait), store.WithMaxAnswer(maxStoreAnswer))
 }
 
 // provideServices registers the services in the order in which they are started.
--- a/store/client.go
+++ b/store/client.go
@@ -19,8 +19,13 @@
 	defaultTimeout      = time.Second
 	defaultDialTimeout  = 500 * time.Millisecond
 	defaultWatchTimeout = 30 * time.Second
+	// defaultMaxAnswer is the largest answer in bytes.
+	defaultMaxAnswer = 32 << 20
 )
 
+// maxPages is the size of a whole list in answers of the largest size.
+const maxPages = 4
+
 // keepAlive detects a dead connection within seconds. Otherwise a watch on it
 // would wait until its time limit.
 var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
@@ -29,6 +34,9 @@
 // opened or its context had ended. Such a call certainly had no effect.
 var errNotConnected = errors.New("no connection")
 
+// errTooLarge marks an answer, or a list of several pages, that exceeds the limit.
+var errTooLarge = errors.New("the answer is too large")
+
 // Client is a Store that calls the platform over HTTP, by default in the dialect
 // of package objapi. It is safe for concurrent use.
 type Client struct {
@@ -37,6 +45,7 @@
 	timeout      time.Duration
 	watchTimeout time.Duration
 	watchWait    time.Duration
+	maxAnswer    int
 	http         *fasthttp.HostClient
 }
 
@@ -59,10 +68,15 @@
 // the dialect can express it. The default is 30 s.
 func WithMaxWatchWait(d time.Duration) ClientOption { return func(c *Client) { c.watchWait = d } }
 
+// WithMaxAnswer sets the size in bytes above which an answer is not read, so that a
+// platform that is broken, or another server at its address, can't take the process over its
+// memory. The default is 32 MiB.
+func WithMaxAnswer(n int) ClientOption { return func(c *Client) { c.maxAnswer = n } }
+
 // NewClient returns a client of the platform at a base URL such as
 // "http://10.0.0.1:7000".
 func NewClient(base string, options ...ClientOption) *Client {
-	c := &Client{base: base, dialect: objapiDialect{}, timeout: defaultTimeout, watchTimeout: defaultWatchTimeout, watchWait: defaultWatchTimeout}
+	c := &Client{base: base, dialect: objapiDialect{}, timeout: defaultTimeout, watchTimeout: defaultWatchTimeout, watchWait: defaultWatchTimeout, maxAnswer: defaultMaxAnswer}
 	for _, o := range options {
 		o(c)
 	}
@@ -73,6 +87,8 @@
 	c.http = &fasthttp.HostClient{
 		Addr:        address,
 		DialTimeout: dial,
+		// Without a limit, memory is allocated for any length that an answer announces.
+		MaxResponseBodySize: c.maxAnswer,
 		// Each call is sent once. If a write took effect but its answer was lost,
 		// a repetition would fail with a conflict, as if the write had failed.
 		MaxIdemponentCallAttempts: 1,
@@ -127,8 +143,11 @@
 func (c *Client) listAll(ctx context.Context, kind Kind, page Page) ([]Object, Version, error) {
 	var objects []Object
 	var version Version
-	for {
+	for size := 0; ; {
 		r := c.roundTrip(ctx, c.dialect.List(kind, page), c.timeout)
+		if size += len(r.body); size > maxPages*c.maxAnswer {
+			return nil, 0, ErrUnavailable(fmt.Sprintf("the list of %s: %v", kind, errTooLarge))
+		}
 		l, err := decodeRead(r, kind, "", func(b []byte) (Listing, error) { return c.dialect.Listing(kind, b) })
 		if err != nil {
 			return nil, 0, err
@@ -181,9 +200,13 @@
 }
 
 // readChanges reads the changes after a version and lets the platform wait up to
-// maxWait for the first one. The call fails after timeout.
+// maxWait for the first one. The call fails after timeout. Changes that are too large for
+// one answer are as good as discarded: the objects can be listed, in pages.
 func (c *Client) readChanges(ctx context.Context, kind Kind, after Version, maxWait, timeout time.Duration) ([]Event, Version, error) {
 	r := c.roundTrip(ctx, c.dialect.Watch(kind, after, maxWait), timeout)
+	if errors.Is(r.err, errTooLarge) {
+		return nil, 0, ErrCompacted()
+	}
 	w, err := decodeRead(r, kind, "", func(b []byte) (Changes, error) { return c.dialect.Changes(kind, b) })
 	return w.Events, w.Version, err
 }
@@ -225,6 +248,9 @@
 		req.SetBodyRaw(call.Body)
 	}
 	if err := c.http.DoDeadline(req, resp, deadline); err != nil {
+		if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+			err = errTooLarge
+		}
 		return response{err: err}
 	}
 	return response{status: resp.StatusCode(), body: append([]byte(nil), resp.Body()...)}
