exch: responses of unknown size do not wait for each other's memory

Callers of targets that send chunks or bodies without end waited until their deadlines, and so did the callers of sound targets on the same host: 81 to 144 requests were answered in 4 s by a host of 184 MB with 40 callers and six such targets of seven, where 7,000 are usual.

Cause: the memory for a response of unknown size was reserved segment by segment. Enough of them hold all of the memory in parts, and each waits for more; nothing is released before the deadlines. Besides, a failed response kept its memory until the end of the whole request, whose next attempt then waited for memory that the request itself held.

Evidence: TestEndlessTogether, 40 exchanges with a target that sends chunks without end: on all 40 end with "this host is short of memory" at their deadline of a minute. TestEndlessAnswers finds the reserved bytes of the failed exchange there, 1,048,577 for most kinds.

Change: from 340 KB on, all that a response may still need is reserved at once, so that those that have begun to grow can end. What is not needed is released when its size is known, all of it if the response failed. Segments of failed responses are used again: without that, the garbage of answers that are read up to the limit and dropped took the process to 181 MB.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -254,6 +254,16 @@
 	return wait, ok
 }
 
+// CanHold reports whether n bytes take at most half of what the account has for holders of
+// this kind, and not more than a connection may have.
+func (h *Holder) CanHold(n int64) bool {
+	if h.owner == nil {
+		return true
+	}
+	a := h.owner.account
+	return n <= a.limits.Connection && 2*n <= a.room(h, a.limits.Total)
+}
+
 // reserve is Reserve with a.mu held. It returns the evicted holders.
 func (a *Account) reserve(now time.Time, h *Holder, n int64) (out []*Holder, wait time.Duration, ok bool) {
 	if h.isOut.Load() {
--- a/budget/segments.go
+++ b/budget/segments.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"math"
+	"sync"
 	"time"
 )
 
@@ -45,6 +46,32 @@
 	}
 }
 
+// segments holds recycled segments of the largest size, as *[]byte.
+var segments sync.Pool
+
+// Recycle lets the memory of the segments be used again, and empties them. Nothing else may
+// refer to their bytes. Without it, bodies that are read and dropped in quick succession
+// outrun the garbage collector.
+func (s *Segments) Recycle() {
+	for _, part := range s.parts {
+		if cap(part) == maxSegment {
+			part = part[:maxSegment]
+			segments.Put(&part)
+		}
+	}
+	*s = Segments{}
+}
+
+// newSegment returns a segment with a size of at most maxSegment, whose bytes are undefined.
+func newSegment(size int64) []byte {
+	if size == maxSegment {
+		if part, ok := segments.Get().(*[]byte); ok {
+			return *part
+		}
+	}
+	return make([]byte, size)
+}
+
 // segmentReader reads segments. It implements io.WriterTo, so that no buffer lies between
 // them and a connection.
 type segmentReader struct {
@@ -99,7 +126,7 @@
 				return s, err
 			}
 		}
-		part := make([]byte, size)
+		part := newSegment(size)
 		n, err := readFull(source, part, progress)
 		if n > 0 {
 			s.parts = append(s.parts, part[:n])
--- /dev/null
+++ b/exch/endless_test.go
@@ -0,0 +1,75 @@
+package exch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
+
+	"rhubarbdrift.example/budget"
+	"rhubarbdrift.example/flood"
+	"rhubarbdrift.example/model"
+)
+
+// doEndless runs one exchange with a server whose answer does not end, with the memory of the
+// account, and releases what the exchange left of it.
+func doEndless(t *testing.T, c *Client, address string, a *budget.Account, deadline time.Duration) (out Outcome, left int64) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), deadline)
+	defer cancel()
+	room := &Room{Memory: budget.NewHolder(a.NewOwner("caller"), budget.Responses, nil)}
+	defer room.Memory.Release()
+	req := newRequest("GET")
+	req.Header.Set("Request", "1")
+	out = c.Do(WithRoom(ctx, room), &model.Target{ID: "t", Address: address}, req, new(fasthttp.Response))
+	return out, a.Status().Total
+}
+
+// TestEndlessAnswers guards against answers without end that count as complete, that keep
+// memory which the next attempt of the request needs, or that are read although they are
+// larger than any other.
+func TestEndlessAnswers(t *testing.T) {
+	const limit = 1 << 20
+	for _, k := range flood.Kinds() {
+		t.Run(string(k), func(t *testing.T) {
+			s, err := flood.Listen(k, flood.WithEcho("Request"), flood.WithHeader("Signature", "s"))
+			must.NoError(t, err)
+			defer s.Close()
+			c := New(WithHeaders(platformHeaders), WithMaxBuffered(limit))
+			defer c.Close()
+			a := budget.New(budget.Limits{Total: 8 * limit, Caller: 8 * limit, Connection: 8 * limit})
+			out, left := doEndless(t, c, s.Address(), a, 20*time.Second)
+			if k == flood.Extra {
+				test.Eq(t, Complete, out.Class)
+				return
+			}
+			test.Eq(t, Broken, out.Class)
+			test.Zero(t, left, test.Sprint("bytes reserved after the exchange"))
+		})
+	}
+}
+
+// TestEndlessTogether guards against answers of unknown size that each hold a part of the
+// memory and wait for the rest, until the deadlines of all of them.
+func TestEndlessTogether(t *testing.T) {
+	const limit = 8 << 20
+	s, err := flood.Listen(flood.Chunks)
+	must.NoError(t, err)
+	defer s.Close()
+	c := New(WithMaxBuffered(limit), WithMaxConnections(40))
+	defer c.Close()
+	a := budget.New(budget.Limits{Total: 4 * limit, Caller: 4 * limit, Connection: 2 * limit})
+	var running sync.WaitGroup
+	for range 40 {
+		running.Go(func() {
+			out, _ := doEndless(t, c, s.Address(), a, time.Minute)
+			test.False(t, errors.Is(out.Err, errNoRoom), test.Sprint(out.Err))
+		})
+	}
+	running.Wait()
+}
--- a/exch/room.go
+++ b/exch/room.go
@@ -99,31 +99,59 @@
 	resp.Header.SetContentLength(int(data.Len()))
 }
 
+// maxBegun is the size of a response of unknown size from which on all that it may still need
+// is reserved at once. Otherwise many such responses could each hold a part of the memory and
+// wait for the rest until their deadlines.
+const maxBegun = 340 << 10
+
 // bufferBody reads a body of a size, which is negative if unknown, into memory and ends the
 // exchange. It returns false on failure.
 func (x *exchange) bufferBody(b *body, room *Room, size int) (data budget.Segments, ok bool) {
-	limit := x.client.maxBuffered
+	limit := int64(x.client.maxBuffered)
 	x.conn.bodyDeadline = x.deadline
 	known := int64(max(size, -1))
 	var err error
 	switch {
-	case size > limit:
+	case known > limit:
 		err = errTooLarge
-	case size >= 0:
-		err = x.reserve(room, int64(size))
+	case known > budget.SmallHolder:
+		err = x.reserve(room, known+budget.SocketBytes)
+	case known >= 0:
+		err = x.reserve(room, known)
 	}
 	if err == nil {
-		data, err = budget.ReadAll(b, known, int64(limit), func(n int64) error { return x.reserve(room, n) }, func(time.Time, int) {})
+		data, err = budget.ReadAll(b, known, limit, x.reserveGrowing(room), func(time.Time, int) {})
 	}
-	if err == nil && data.Len() > int64(limit) {
+	if err == nil && data.Len() > limit {
 		err = errTooLarge
 	}
 	switch {
 	case errors.Is(err, errTooLarge):
-		x.abort(fault.New(fault.KindLimited, "the response exceeds the "+strconv.Itoa(limit)+" bytes that are read into memory",
+		x.abort(fault.New(fault.KindLimited, "the response exceeds the "+strconv.FormatInt(limit, 10)+" bytes that are read into memory",
 			"let the target send a length or chunks"))
 	case err != nil:
 		x.abort(err)
 	}
+	if x.out.Class != Complete {
+		data.Recycle() // the next attempt of the call may need its memory
+	}
+	if room != nil {
+		room.Memory.ReleaseTo(data.Len())
+	}
 	return data, x.out.Class == Complete
 }
+
+// reserveGrowing returns the function that reserves the segments of a body of unknown size.
+func (x *exchange) reserveGrowing(room *Room) func(n int64) error {
+	reserved, largest := int64(0), int64(x.client.maxBuffered)+1+budget.SocketBytes
+	return func(n int64) error {
+		if reserved >= largest {
+			return nil
+		}
+		if reserved+n > maxBegun && room != nil && room.Memory.CanHold(largest) {
+			n = largest - reserved
+		}
+		reserved += n
+		return x.reserve(room, n)
+	}
+}
