exch: a response of mostly framing is given up

A target that sends chunks of one byte without end kept the processor of its caller's host busy until the deadline: 95 of 168 requests were answered in 4 s by a host with 40 callers and six such targets of seven.

Cause: only the size of the data counted toward the limit of a response, 8 MiB, which takes 48 MB and about two seconds of a processor in chunks of one byte.

Change: the framing of a buffered response may exceed its data by 256 KB. That lets a response of 64 KB in chunks of one byte pass, and any with chunks of six bytes or more.

Evidence: TestEndlessAnswers/tiny fails before the change (6,305,861 bytes read of a response whose limit is 1 MiB, 4 MiB allowed).

--- a/exch/body.go
+++ b/exch/body.go
@@ -11,8 +11,11 @@
 
 // body reads a response body. It is not safe for concurrent use.
 type body struct {
-	x   *exchange
-	err error
+	x        *exchange
+	err      error
+	size     int64 // bytes read so far
+	begin    int64 // bytes of the response before the body
+	buffered bool  // the whole body is read into memory, so that maxFraming applies
 }
 
 // Read returns io.EOF only after the complete body. Any other error means that
@@ -26,6 +29,10 @@
 		return 0, io.ErrClosedPipe
 	}
 	n, err := x.response.BodyStream().Read(p)
+	b.size += int64(n)
+	if err == nil && b.buffered && x.consumed()-b.begin-b.size > b.size+maxFraming {
+		err = errFraming
+	}
 	if err == nil {
 		return n, nil
 	}
--- a/exch/endless_test.go
+++ b/exch/endless_test.go
@@ -50,6 +50,10 @@
 			}
 			test.Eq(t, Broken, out.Class)
 			test.Zero(t, left, test.Sprint("bytes reserved after the exchange"))
+			test.Less(t, 4*limit, out.Received)
+			if k == flood.Tiny {
+				test.ErrorIs(t, out.Err, errFraming)
+			}
 		})
 	}
 }
--- a/exch/exchange.go
+++ b/exch/exchange.go
@@ -209,6 +209,9 @@
 	return x.attachBody(resp)
 }
 
+// consumed returns the number of bytes of the response that were read and are not buffered.
+func (x *exchange) consumed() int64 { return x.conn.bytesRead - int64(x.reader.Buffered()) }
+
 // readHeader reads the header of the response to req. A response with another
 // request id arrived late on the connection and is skipped.
 func (x *exchange) readHeader(req *fasthttp.Request) error {
--- a/exch/room.go
+++ b/exch/room.go
@@ -104,11 +104,20 @@
 // wait for the rest until their deadlines.
 const maxBegun = 340 << 10
 
+// maxFraming is how much larger the framing of a buffered response may be than its data, in
+// bytes. With chunks of a few bytes, the processor would be busy with one response until the
+// deadline.
+const maxFraming = 256 << 10
+
+// errFraming is the cause of an exchange whose response consists of chunks of a few bytes.
+var errFraming = errors.New("the response has more framing than data")
+
 // bufferBody reads a body of a size, which is negative if unknown, into memory and ends the
 // exchange. It returns false on failure.
 func (x *exchange) bufferBody(b *body, room *Room, size int) (data budget.Segments, ok bool) {
 	limit := int64(x.client.maxBuffered)
 	x.conn.bodyDeadline = x.deadline
+	b.begin, b.buffered = x.consumed(), true
 	known := int64(max(size, -1))
 	var err error
 	switch {
