exch: the system's receive buffers of connections to targets are bounded

A host of 184 MB took up to 218 MB, its own memory and what it had received and not read, while six of seven targets sent bodies or chunks without end. The users' platform counts both and kills the process, with all its requests.

Cause: the system enlarges the receive buffer of a connection on which much is read, up to 6 MB. While a response waits for memory, its target fills that.

Change: the buffer has the size that connections of callers have for large bodies, 128 KB, and it is reserved with a large response. Two round trips between the regions fit, so that a connection carries about 5 MB/s there.

--- a/exch/endless_test.go
+++ b/exch/endless_test.go
@@ -1,8 +1,12 @@
 package exch
 
 import (
+	"bufio"
 	"context"
 	"errors"
+	"fmt"
+	"net"
+	"net/http"
 	"sync"
 	"testing"
 	"time"
@@ -77,3 +81,50 @@
 	}
 	running.Wait()
 }
+
+// TestUnreadResponse guards against megabytes of a response in the system's buffer, which
+// count as the process's memory, while there is no memory to read it. The system enlarges the
+// buffer of a connection on which a large response was read before.
+func TestUnreadResponse(t *testing.T) {
+	const size = 16 << 20
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	sent := make(chan int, 2) // bytes that each response could send
+	go func() {
+		defer close(sent)
+		nc, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = nc.Close() }()
+		_ = nc.(*net.TCPConn).SetWriteBuffer(32 << 10)
+		requests := bufio.NewReader(nc)
+		for range 2 {
+			if _, err := http.ReadRequest(requests); err != nil {
+				return
+			}
+			_, _ = fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", size)
+			total, part := 0, make([]byte, 16<<10)
+			for total < size {
+				_ = nc.SetWriteDeadline(time.Now().Add(time.Second))
+				n, err := nc.Write(part)
+				if total += n; err != nil {
+					break
+				}
+			}
+			sent <- total
+		}
+	}()
+	c := New(WithMaxBuffered(size))
+	defer c.Close()
+	large := budget.New(budget.Limits{Total: 4 * size, Caller: 4 * size, Connection: 4 * size})
+	out, _ := doEndless(t, c, ln.Addr().String(), large, 20*time.Second)
+	must.Eq(t, Complete, out.Class, must.Sprint(out.Err))
+	must.Eq(t, size, <-sent)
+	small := budget.New(budget.Limits{Total: size / 2, Caller: size / 2, Connection: 4 * size})
+	out, _ = doEndless(t, c, ln.Addr().String(), small, 3*time.Second)
+	test.ErrorIs(t, out.Err, errNoRoom)
+	// The system doubles the size that is asked for, and the target has a buffer too.
+	test.Less(t, 4*budget.SocketBytes, <-sent, test.Sprint("bytes that the target could send"))
+}
--- a/exch/pool.go
+++ b/exch/pool.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"rhubarbdrift.example/budget"
 	"rhubarbdrift.example/fault"
 )
 
@@ -89,6 +90,11 @@
 		return nil, fault.Wrap(fault.KindUnavailable, err, "cannot connect to target "+p.address,
 			"check that the target is running and reachable from this host")
 	}
+	if tcp, ok := nc.(*net.TCPConn); ok {
+		// Without it, the system holds megabytes of a response that is not read. It fails
+		// only on a closed connection, which the first use reports.
+		_ = tcp.SetReadBuffer(budget.SocketBytes)
+	}
 	return &conn{Conn: nc, connPool: p, epoch: epoch}, nil
 }
 
