gate: rights of a queued request are those of the newest configuration

A daemon that could not prove its configuration passed requests with a key on routes that were open in it, without the customer's name, for as long as it was cut off; the route may need a key by then. And a request that waited in the queue of its pool ran by the rights of its arrival: without a key on a route that had been closed meanwhile, or for a customer that had lost the route.

Change: a request with a key is refused as not run while the configuration may be old, on open routes too, at arrival and before each send. Before each send the route of the newest configuration must still be open for a request without a customer, and allow the customer of the others. Requests without a key pass on open routes as before while the store is away.

Evidence: TestOpenRoute fails on in four of seven cases (200 instead of 503) and TestRightsWithdrawnWhileQueued (200 instead of 401); both pass now.

--- a/gate/call.go
+++ b/gate/call.go
@@ -40,7 +40,8 @@
 	route          *model.Route
 	pool           *model.Pool
 	customer       *model.Customer // nil on open routes
-	keyDigest      model.Digest    // of the caller's key
+	keyDigest      model.Digest    // of the caller's key; empty without one
+	host           string          // lower case, without port
 	token          Token
 	claim          Claim
 	triedTargets   []model.TargetID // of all attempts; backed by attemptBuffers, as is triedDomains
@@ -87,8 +88,8 @@
 	if c.snapshot == nil {
 		return refuse.New(refuse.KindStale, refuse.NotRun, "this daemon has no configuration yet", "retry later").WithRetryAfter(defaultRetryAfter)
 	}
-	host, _, _ := strings.Cut(strings.ToLower(string(c.ctx.Host())), ":")
-	route, ok := c.snapshot.Route(host, string(c.ctx.Path()))
+	c.host, _, _ = strings.Cut(strings.ToLower(string(c.ctx.Host())), ":")
+	route, ok := c.snapshot.Route(c.host, string(c.ctx.Path()))
 	if !ok {
 		return refuse.New(refuse.KindRoute, refuse.NotRun, "no route matches the host and path", "check the URL")
 	}
@@ -118,19 +119,20 @@
 }
 
 // authenticate finds the customer of the key. It always removes the key from the
-// request, so that it does not reach a target.
+// request, so that it does not reach a target. A request with a key is refused on open
+// routes too while the configuration may be too old: the route may no longer be open.
 func (c *call) authenticate() *refuse.Refusal {
 	key := c.ctx.Request.Header.Peek(refuse.HeaderKey)
 	if len(key) > 0 {
 		c.keyDigest = model.DigestOf(key)
 	}
 	c.ctx.Request.Header.Del(refuse.HeaderKey)
+	if (len(key) > 0 || !c.route.Open) && !c.gate.deps.ConfigFresh() {
+		return staleRefusal()
+	}
 	if c.route.Open {
 		return nil
 	}
-	if !c.gate.deps.ConfigFresh() {
-		return staleRefusal()
-	}
 	customer, ok := c.authorizedCustomer(c.snapshot)
 	if !ok {
 		return refuse.New(refuse.KindKey, refuse.NotRun, "the route needs a valid key in "+refuse.HeaderKey, "ask an operator for a key")
@@ -144,27 +146,42 @@
 }
 
 // authorizedCustomer returns the customer of the caller's key in the snapshot, and
-// false if there is none or it may not use the route.
+// false if there is none or it may not use the route, in the snapshot or at its arrival.
 func (c *call) authorizedCustomer(s *conf.Snapshot) (*model.Customer, bool) {
 	customer, _, ok := s.Key(c.keyDigest)
 	if !ok || !c.route.Allows(customer.ID) {
 		return nil, false
 	}
+	if route, found := c.routeIn(s); found && !route.Allows(customer.ID) {
+		return nil, false
+	}
 	return customer, true
 }
 
-// revalidate checks the key against the newest configuration and the token for
-// validity immediately before the request is sent, because the key may have been
-// withdrawn or the token may have expired while the request waited. It replaces
-// an expired token once.
+// routeIn returns the request's route in a snapshot.
+func (c *call) routeIn(s *conf.Snapshot) (*model.Route, bool) {
+	if s == c.snapshot {
+		return c.route, true
+	}
+	return s.Route(c.host, string(c.ctx.Path()))
+}
+
+// revalidate checks the key and the route's rights against the newest configuration and
+// the token for validity immediately before the request is sent, because they may have
+// changed or the token may have expired while the request waited. It replaces an expired
+// token once.
 func (c *call) revalidate() *refuse.Refusal {
+	newest := c.gate.deps.Snapshot()
+	if (c.customer != nil || c.keyDigest != "") && !c.gate.deps.ConfigFresh() {
+		return staleRefusal()
+	}
 	if c.customer == nil {
+		if route, found := c.routeIn(newest); found && !route.Open {
+			return refuse.New(refuse.KindStale, refuse.NotRun, "the route is no longer open", "retry with a key").WithRetryAfter(defaultRetryAfter)
+		}
 		return nil
 	}
-	if !c.gate.deps.ConfigFresh() {
-		return staleRefusal()
-	}
-	current, ok := c.authorizedCustomer(c.gate.deps.Snapshot())
+	current, ok := c.authorizedCustomer(newest)
 	if !ok || current.ID != c.customer.ID {
 		return refuse.New(refuse.KindKey, refuse.NotRun, "the key was withdrawn", "ask an operator for a key")
 	}
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -35,6 +35,8 @@
 	holder          *conf.Holder
 	address         string // of the Gate
 	fresh           atomic.Bool
+	target          string        // address
+	routes          []model.Route // of further configurations, beside the usual ones
 	claims          fakeClaims
 	onAcquire       func()       // called while a request is queued
 	permits         atomic.Int64 // granted by the queue and not returned
@@ -146,6 +148,7 @@
 		intent := s.Intent()
 		picker.Update([]*model.Pool{&intent.Pools[0]}, []pick.Daemon{{Host: "h1", Region: "north", Domain: "a"}})
 	})
+	tg.target = address
 	tg.installConfig(t, 1, address, []model.Key{{ID: "k", Digest: model.DigestOf([]byte(testKey))}})
 	exchange := exch.New()
 	t.Cleanup(exchange.Close)
@@ -166,7 +169,7 @@
 func (tg *testGate) installConfig(t testing.TB, version model.ConfigVersion, address string, keys []model.Key) {
 	t.Helper()
 	intent := &model.Intent{
-		Customers: []model.Customer{{ID: "depots", Rate: 1e6, Burst: 1e6, Keys: keys}},
+		Customers: []model.Customer{{ID: "depots", Rate: 1e6, Burst: 1e6, Keys: keys}, {ID: "others", Rate: 1, Burst: 1}},
 		Pools: []model.Pool{{ID: "ledger", Targets: []model.Target{
 			{ID: "l1", Address: address, Region: "north", Domain: "a", Slots: 64},
 			{ID: "l2", Address: address, Region: "north", Domain: "a", Slots: 64},
@@ -176,6 +179,7 @@
 			{ID: "payouts", Prefix: "/payouts", Pool: "ledger", Deadline: 5000, Repeat: model.RepeatNever},
 		},
 	}
+	intent.Routes = append(intent.Routes, tg.routes...)
 	root, chunks, err := conf.Build(intent, version, model.DigestOf([]byte("audit")), "change")
 	must.NoError(t, err)
 	s, err := conf.Assemble(root, func(d model.Digest) ([]byte, error) { return chunks[d], nil })
@@ -271,6 +275,69 @@
 	must.SliceEmpty(t, tg.received())
 }
 
+// TestOpenRoute guards against a request that runs without the customer of its key, or
+// without a key, although its route is no longer open: while the configuration may be old,
+// and after it changed while the request was queued.
+func TestOpenRoute(t *testing.T) {
+	open := []model.Route{{ID: "look", Prefix: "/look", Pool: "ledger", Deadline: 5000, Open: true}}
+	closed := []model.Route{{ID: "look", Prefix: "/look", Pool: "ledger", Deadline: 5000}}
+	key := []model.Key{{ID: "k", Digest: model.DigestOf([]byte(testKey))}}
+	withKey, without := request("GET", "/look", ""), "GET /look HTTP/1.1\r\nHost: yard\r\n\r\n"
+	for name, c := range map[string]struct {
+		raw          string
+		stale        bool // from the arrival on
+		goesStale    bool // while the request is queued
+		after        []model.Route
+		status, runs int
+	}{
+		"key":                       {raw: withKey, after: open, status: 200, runs: 1},
+		"no key":                    {raw: without, after: open, status: 200, runs: 1},
+		"key, old configuration":    {raw: withKey, stale: true, after: open, status: 503},
+		"no key, old configuration": {raw: without, stale: true, after: open, status: 200, runs: 1},
+		"key, while queued":         {raw: withKey, goesStale: true, after: open, status: 503},
+		"key, closed":               {raw: withKey, after: closed, status: 503},
+		"no key, closed":            {raw: without, after: closed, status: 503},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tg := newTestGate(t, respondHello)
+			tg.routes = open
+			tg.installConfig(t, 2, tg.target, key)
+			tg.fresh.Store(!c.stale)
+			tg.onAcquire = func() {
+				tg.routes = c.after
+				tg.installConfig(t, 3, tg.target, key)
+				tg.fresh.Store(!c.stale && !c.goesStale)
+			}
+			resp, _ := tg.send(t, c.raw)
+			must.EqOp(t, c.status, resp.StatusCode())
+			must.SliceLen(t, c.runs, tg.received())
+			if c.runs == 0 {
+				must.EqOp(t, "not-run", string(resp.Header.Peek(refuse.HeaderRun)))
+				must.EqOp(t, "stale", string(resp.Header.Peek(refuse.HeaderKind)))
+			}
+		})
+	}
+}
+
+// TestRightsWithdrawnWhileQueued guards against running a request whose customer lost the
+// right to its route after the request was admitted.
+func TestRightsWithdrawnWhileQueued(t *testing.T) {
+	tg := newTestGate(t, respondHello)
+	key := []model.Key{{ID: "k", Digest: model.DigestOf([]byte(testKey))}}
+	route := model.Route{ID: "look", Prefix: "/look", Pool: "ledger", Deadline: 5000, Customers: []model.CustomerID{"depots"}}
+	tg.routes = []model.Route{route}
+	tg.installConfig(t, 2, tg.target, key)
+	tg.onAcquire = func() {
+		route.Customers = []model.CustomerID{"others"}
+		tg.routes = []model.Route{route}
+		tg.installConfig(t, 3, tg.target, key)
+	}
+	resp, _ := tg.send(t, request("GET", "/look", ""))
+	must.EqOp(t, 401, resp.StatusCode())
+	must.EqOp(t, "not-run", string(resp.Header.Peek(refuse.HeaderRun)))
+	must.SliceEmpty(t, tg.received())
+}
+
 // TestRunAtMostOnce guards against a second execution of a request that may not be
 // repeated, and against "not-run" for a request whose outcome is unknown.
 func TestRunAtMostOnce(t *testing.T) {
