proxy: a request without a key does not run on a route that was closed meanwhile

A request without a key whose body arrived slowly, or that waited for another of its connection, ran on a route that had needed a key for seconds.

Cause: before each send only the holder of a key was checked again; a request without one relied on the route of its arrival.

Change: if the configuration changed since the arrival and the route now needs a key, the request is refused as not run, and its caller retries.

Evidence: TestOpenRouteClosed fails before the change (200 instead of 503).

--- a/proxy/call.go
+++ b/proxy/call.go
@@ -226,10 +226,16 @@
 }
 
 // recheckKey verifies before each send that the key still belongs to the same customer,
-// or still to none on an open route, and applies the regions of the newest configuration.
+// or still to none on an open route, and that a route without a key is still open. It applies
+// the regions of the newest configuration.
 func (c *call) recheckKey() *response {
 	newest := c.proxy.deps.Snapshot()
 	if !c.hasKey {
+		if newest != c.snapshot {
+			if route, ok := newest.Route(c.host, c.path); ok && !route.Open {
+				return refusal(refuse.New(refuse.KindStale, refuse.NotRun, "the route is no longer open", "retry with a key"), shortRetryDelay)
+			}
+		}
 		c.restrictRegions(newest, nil)
 		return nil
 	}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -90,6 +90,7 @@
 	targetScript *targetScript
 	age          atomic.Int64
 	holder       *conf.Holder
+	closed       bool // further configurations close the open route
 	url          string
 	proxy        *Proxy
 	atTargets    atomic.Int32 // requests that were reported as sent and not as ended
@@ -143,7 +144,7 @@
 		Routes: []model.Route{
 			{ID: "safe", Host: "127.0.0.1", Prefix: "/safe/", Pool: "p", Repeat: model.RepeatAlways, Deadline: 1000, Attempts: 2},
 			{ID: "once", Host: "127.0.0.1", Prefix: "/once/", Pool: "p", Repeat: model.RepeatNever, Deadline: 1000, Attempts: 2},
-			{ID: "open", Host: "127.0.0.1", Prefix: "/open/", Pool: "p", Repeat: model.RepeatAlways, Deadline: 1000, Open: true},
+			{ID: "open", Host: "127.0.0.1", Prefix: "/open/", Pool: "p", Repeat: model.RepeatAlways, Deadline: 1000, Open: !tp.closed},
 		},
 		Pools: []model.Pool{{ID: "p"}},
 	}))
@@ -254,16 +255,35 @@
 	test.Eq(t, 200, send(""))
 	test.Eq(t, 3, tp.targetScript.requests.Load())
 	tp.age.Store(0)
+	tp.sendWhile(t, "Key: key\r\n", func() { tp.install(2, "new") })
+	test.Eq(t, 3, tp.targetScript.requests.Load())
+}
+
+// TestOpenRouteClosed guards against a request without a key that runs on a route which was
+// closed while its body arrived.
+func TestOpenRouteClosed(t *testing.T) {
+	tp := newTestProxy(t, okResponse)
+	tp.sendWhile(t, "", func() {
+		tp.closed = true
+		tp.install(2, "key")
+	})
+	test.Zero(t, tp.targetScript.requests.Load())
+}
+
+// sendWhile sends a request with the header on the open route, calls change before the end of
+// its body, and checks that the request is refused.
+func (tp *testProxy) sendWhile(t *testing.T, header string, change func()) {
+	t.Helper()
 	conn, err := net.Dial("tcp", strings.TrimPrefix(tp.url, "http://"))
 	must.NoError(t, err)
 	defer func() { _ = conn.Close() }()
-	_, err = io.WriteString(conn, "POST /open/ HTTP/1.1\r\nHost: 127.0.0.1\r\nRequest: 1\r\nKey: key\r\nContent-Length: 2\r\n\r\n1")
+	_, err = io.WriteString(conn, "POST /open/ HTTP/1.1\r\nHost: 127.0.0.1\r\nRequest: 1\r\n"+header+"Content-Length: 2\r\n\r\n1")
 	must.NoError(t, err)
 	for end := time.Now().Add(5 * time.Second); tp.proxy.Running() == 0 && time.Now().Before(end); {
 		time.Sleep(time.Millisecond)
 	}
 	time.Sleep(10 * time.Millisecond) // the key is checked before the body is awaited
-	tp.install(2, "new")
+	change()
 	_, err = io.WriteString(conn, "0")
 	must.NoError(t, err)
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
@@ -271,7 +291,6 @@
 	defer func() { _ = resp.Body.Close() }()
 	test.Eq(t, 503, resp.StatusCode)
 	test.Eq(t, "not-run", resp.Header.Get(refuse.HeaderRun))
-	test.Eq(t, 3, tp.targetScript.requests.Load())
 }
 
 // TestLeft guards against a target that keeps running a request whose caller closed
