exch: a response that is too large is evidence, also if it waited for memory

Targets that send without end went on getting requests while memory was short: a failure after a second of waiting for memory was never held against them.

Cause: a target may give up a response that stays unread for long, so all failures after such a wait were excused, also those that the response itself causes.

CanHold of budget reads the account under its lock, and the bound of a list is named for what it counts.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -261,6 +261,8 @@
 		return true
 	}
 	a := h.owner.account
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	return n <= a.limits.Connection && 2*n <= a.room(h, a.limits.Total)
 }
 
--- a/exch/endless_test.go
+++ b/exch/endless_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -63,7 +62,8 @@
 }
 
 // TestEndlessTogether guards against answers of unknown size that each hold a part of the
-// memory and wait for the rest, until the deadlines of all of them.
+// memory and wait for the rest, until the deadlines of all of them, and that are then no
+// evidence against their target.
 func TestEndlessTogether(t *testing.T) {
 	const limit = 8 << 20
 	s, err := flood.Listen(flood.Chunks)
@@ -76,7 +76,8 @@
 	for range 40 {
 		running.Go(func() {
 			out, _ := doEndless(t, c, s.Address(), a, time.Minute)
-			test.False(t, errors.Is(out.Err, errNoRoom), test.Sprint(out.Err))
+			test.ErrorIs(t, out.Err, errTooLarge)
+			test.False(t, out.Canceled)
 		})
 	}
 	running.Wait()
--- a/exch/room.go
+++ b/exch/room.go
@@ -19,8 +19,8 @@
 const roomRetry = 250 * time.Millisecond
 
 // unreadTime is how long a response may stay unread for lack of room, in total, before its
-// failure is no longer evidence about the target. Targets give up responses that stay unread
-// for some seconds.
+// failure is no longer evidence about the target, unless the response itself is the cause.
+// Targets give up responses that stay unread for some seconds.
 const unreadTime = time.Second
 
 // errTooLarge is the cause of an exchange whose response exceeds the limit.
@@ -136,7 +136,7 @@
 	}
 	switch {
 	case errors.Is(err, errTooLarge):
-		x.abort(fault.New(fault.KindLimited, "the response exceeds the "+strconv.FormatInt(limit, 10)+" bytes that are read into memory",
+		x.abort(fault.Wrap(fault.KindLimited, err, "the response exceeds the "+strconv.FormatInt(limit, 10)+" bytes that are read into memory",
 			"let the target send a length or chunks"))
 	case err != nil:
 		x.abort(err)
--- a/store/client.go
+++ b/store/client.go
@@ -23,8 +23,8 @@
 	defaultMaxAnswer = 32 << 20
 )
 
-// maxPages is the size of a whole list in answers of the largest size.
-const maxPages = 4
+// maxListAnswers bounds a list of several pages, in answers of the largest size.
+const maxListAnswers = 4
 
 // keepAlive detects a dead connection within seconds. Otherwise a watch on it
 // would wait until its time limit.
@@ -145,7 +145,7 @@
 	var version Version
 	for size := 0; ; {
 		r := c.roundTrip(ctx, c.dialect.List(kind, page), c.timeout)
-		if size += len(r.body); size > maxPages*c.maxAnswer {
+		if size += len(r.body); size > maxListAnswers*c.maxAnswer {
 			return nil, 0, ErrUnavailable(fmt.Sprintf("the list of %s: %v", kind, errTooLarge))
 		}
 		l, err := decodeRead(r, kind, "", func(b []byte) (Listing, error) { return c.dialect.Listing(kind, b) })
--- a/store/endless_test.go
+++ b/store/endless_test.go
@@ -60,7 +60,7 @@
 	defer c.Close()
 	_, _, err := c.List(t.Context(), "kind")
 	test.True(t, fault.Is(err, fault.KindUnavailable), test.Sprint(err))
-	test.LessEq(t, maxPages*limit/pageBytes+1, pages)
+	test.LessEq(t, maxListAnswers*limit/pageBytes+1, pages)
 	_, _, err = c.Watch(t.Context(), "kind", 1)
 	test.Eq(t, ErrCompacted().Error(), err.Error())
 }
