caller: a stop reads a connection once more before it closes it

Callers could see: a request that had arrived just before a stop closed its connection got no response, though Shutdown promises one for each request that has arrived in part.

Cause: closeIfIdle and refuseIncomplete ended the waiting read with a deadline in the past. Such a read returns no bytes even if the system holds some, so the stop decided by what had been read, not by what had arrived.

Change: the waiting read is ended as before, then the connection is read once more for 10 ms. Bytes make it a connection with a request, which is served or refused as incomplete; none close it.

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -20,6 +20,9 @@
 	// response. Closing at once would reset the connection and could destroy the
 	// response.
 	lingerTime = 500 * time.Millisecond
+	// lastReadTime is how long the last read of a connection waits for bytes that the
+	// system may have received already.
+	lastReadTime = 10 * time.Millisecond
 	// smallBuffer is the size of the read buffer of a connection that has not needed a
 	// larger one. Most connections are idle most of the time.
 	smallBuffer = 4 << 10
@@ -60,6 +63,7 @@
 	served    int         // requests that were taken
 	phase     phase
 	last      bool      // no further request is taken
+	closing   bool      // the connection ends unless the next read returns bytes
 	broken    bool      // nothing more can be written
 	writing   bool      // a goroutine writes responses
 	signalled bool      // wake ended the read
@@ -149,7 +153,8 @@
 	for {
 		c.mu.Lock()
 		buffered := c.in.Buffered() > 0
-		if !c.readLimit.IsZero() && (len(c.queue) > 0 || !buffered) {
+		c.closing = c.closing && !buffered && len(c.queue) == 0
+		if !c.readLimit.IsZero() && (len(c.queue) > 0 || !buffered && !c.closing) {
 			c.last = true
 		}
 		if c.broken || c.last && len(c.queue) == 0 {
@@ -206,7 +211,11 @@
 		defer c.mu.Unlock()
 		signalled := c.signalled
 		c.signalled = false
-		return signalled || len(c.queue) > 0 || time.Now().Before(c.idleUntil)
+		if signalled || len(c.queue) > 0 || time.Now().Before(c.idleUntil) {
+			return true
+		}
+		c.last = c.last || c.closing
+		return false
 	default:
 		return false
 	}
@@ -217,7 +226,11 @@
 func (c *conn) resetIdle() {
 	deadline := time.Time{}
 	if len(c.queue) == 0 {
-		c.idleUntil = time.Now().Add(c.server.limits.IdleTimeout)
+		timeout := c.server.limits.IdleTimeout
+		if c.closing {
+			timeout = lastReadTime
+		}
+		c.idleUntil = time.Now().Add(timeout)
 		deadline = c.idleUntil
 	}
 	_ = c.nc.SetReadDeadline(deadline) // fails only on a closed connection, which reads report
@@ -237,6 +250,11 @@
 		c.resetIdle()
 		return
 	}
+	c.endRead()
+}
+
+// endRead ends the read that waits for a byte. The caller holds c.mu.
+func (c *conn) endRead() {
 	c.signalled = true
 	_ = c.nc.SetReadDeadline(time.Unix(1, 0)) // as in resetIdle
 }
@@ -415,11 +433,20 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == waiting && len(c.queue) == 0 && (c.served > 0 || silent) {
-		c.last = true
-		c.wake()
+		c.closeAfterRead()
 	}
 }
 
+// closeAfterRead closes a connection that waits for a request, unless bytes of one have
+// arrived that were not read yet. The caller holds c.mu.
+func (c *conn) closeAfterRead() {
+	if c.last || c.closing {
+		return
+	}
+	c.closing = true
+	c.endRead() // a read that began before its deadline returns the bytes that are there
+}
+
 // refuseIncomplete ends the reading of requests. One that has arrived in part is refused.
 func (c *conn) refuseIncomplete() {
 	c.mu.Lock()
@@ -429,6 +456,10 @@
 		_ = c.nc.SetReadDeadline(c.readLimit)
 		return
 	}
+	if c.phase == waiting && len(c.queue) == 0 {
+		c.closeAfterRead()
+		return
+	}
 	c.last = true
 	c.wake()
 }
