--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -466,44 +465,6 @@
 	test.Between(t, 150*time.Millisecond, time.Since(start), 2*time.Second)
 }
 
-// TestShutdown guards against requests that a stop leaves without a response, on every
-// kind of connection.
-func TestShutdown(t *testing.T) {
-	h := newHandler()
-	s, address := listen(t, h, testLimits)
-	idle, silent, running, head, half := dial(t, address), dial(t, address), dial(t, address), dial(t, address), dial(t, address)
-	idle.send(get("/1"))
-	idle.read("GET")
-	running.send(get("/wait/2") + get("/wait/3"))
-	half.send("POST /4 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo")
-	eventually(t, func() bool { return h.running.Load() == 3 })
-	ctx, cancel := context.WithTimeout(t.Context(), 900*time.Millisecond)
-	defer cancel()
-	ended := make(chan error, 1)
-	go func() { ended <- s.Shutdown(ctx) }()
-	status, _, _ := idle.read("GET")
-	test.Eq(t, 0, status)
-	time.Sleep(400 * time.Millisecond)
-	silent.send(get("/close/5")) // as a handler does during a stop
-	head.send("GET /6 HTTP/1.1\r\n")
-	_, body, closes := silent.read("GET")
-	test.Eq(t, "/close/5true", fmt.Sprint(body, closes))
-	for _, c := range []*client{head, half} {
-		status, _, closes = c.read("GET")
-		test.Eq(t, "503 true", fmt.Sprint(status, closes))
-	}
-	close(h.release)
-	for _, want := range []string{"/wait/2", "/wait/3"} {
-		status, body, _ = running.read("GET")
-		test.Eq(t, 200, status)
-		test.Eq(t, want, body)
-	}
-	for _, c := range []*client{running, head, half, silent} {
-		_ = c.Close()
-	}
-	test.NoError(t, <-ended)
-}
-
 // FuzzRequests looks for bytes that are read as other requests when they arrive in two
 // parts, and for any that end the process.
 func FuzzRequests(f *testing.F) {
