watch, feed: a store that fails all watches is not listed without a pause

A store would see: lists of all objects as fast as it answers, from each host that calls it, for as long as its watches fail with "history is gone" while lists are sound. On the host, the decoding of each list.

Cause: a lost history was not a failed call, so the list was read again at once, each time. TestEndlessStore does not see it, since its lists fail as well.

Change: the first lost watch is followed by a list at once, as before. From the second in a row it is a failed call with the usual pauses, which grow in package watch. A list does not end the sequence; a watch does.

--- a/feed/watch.go
+++ b/feed/watch.go
@@ -16,6 +16,7 @@
 // after that version, it lists the objects again.
 func (s *Service) watch(ctx context.Context) error {
 	var after store.Version
+	losses := 0 // consecutive watches that could not be continued
 	for ctx.Err() == nil {
 		if !s.member.IsWatcher() {
 			sleep(ctx, cell.Period)
@@ -25,9 +26,16 @@
 		switch {
 		case fault.Is(err, store.KindCompacted):
 			after = 0
+			losses++
+			if losses > 1 { // the platform may fail all watches
+				sleep(ctx, retryDelay)
+			}
 		case err != nil:
 			sleep(ctx, retryDelay)
 		default:
+			if after > 0 {
+				losses = 0
+			}
 			after = next
 		}
 	}
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -125,6 +125,7 @@
 	odd          oddEntries    // entries that cannot be read
 
 	failures   int           // consecutive failed calls
+	losses     int           // consecutive watches that could not be continued
 	completeAt atomic.Int64  // boot time at which the list was known to be complete; 0: never
 	lastRelay  atomic.Int64  // boot time of the last relay from a neighbour; 0: none
 	lastCallOK atomic.Bool   // the store answered this daemon's last call; false while relayed
@@ -158,7 +159,7 @@
 	unrelayed := true // no neighbour relayed the list at the last check; at the start, the store is called without a pause
 	for ctx.Err() == nil {
 		if f.relayed() {
-			f.failures = 0
+			f.failures, f.losses = 0, 0
 			f.lastCallOK.Store(false)
 			unrelayed = false
 			sleep(ctx, relayCheckInterval)
@@ -250,20 +251,32 @@
 		return false, nil // without an answer the age of the list is not renewed
 	}
 	if fault.Is(err, store.KindCompacted) {
-		f.log.Info().Str("kind", string(f.kind)).Uint64("after", uint64(from)).Msg("history is gone; the list is read again")
-		f.mu.Lock()
-		f.version = 0
-		f.mu.Unlock()
-		return false, nil
+		return false, f.loseHistory(from, err)
 	}
 	if err != nil {
 		return false, err
 	}
+	f.losses = 0
 	f.prepareEvents(events)
 	f.applyAnswer(version, sent, func() { f.applyEvents(events, version) })
 	return len(events) > 0, nil
 }
 
+// loseHistory makes the next call read the complete list. From the second watch in a row that
+// could not be continued it returns the error, since lists are large and the store may fail all
+// watches.
+func (f *follower) loseHistory(from store.Version, err error) error {
+	f.log.Info().Str("kind", string(f.kind)).Uint64("after", uint64(from)).Msg("history is gone; the list is read again")
+	f.mu.Lock()
+	f.version = 0
+	f.mu.Unlock()
+	f.losses++
+	if f.losses > 1 {
+		return err
+	}
+	return nil
+}
+
 // prepareEvents prepares the entries of changes.
 func (f *follower) prepareEvents(events []store.Event) {
 	for i := range events {
@@ -302,7 +315,7 @@
 // applyAnswer applies an answer to a call that was sent at the boot time sent,
 // unless a newer list was relayed in the meantime.
 func (f *follower) applyAnswer(version store.Version, sent time.Duration, apply func()) {
-	if f.failures > 0 {
+	if f.failures > 0 && f.losses < 2 { // a list does not end a sequence of lost watches
 		f.log.Info().Str("kind", string(f.kind)).Int("failures", f.failures).Dur("silence", f.age()).Msg("store answers again")
 		f.failures = 0
 	}
