store, objapi, claim: lists come in pages

An operator would see: "cannot delete old claims" each second, and claims that grow for ever, once all of them together exceed an eighth of the machine's memory (at least 16 MiB). Any other list of that size fails too.

Change: objapi answers with pages of 4 MiB and continues after a name.

--- a/claim/keeper.go
+++ b/claim/keeper.go
@@ -46,6 +46,7 @@
 	mu          sync.Mutex
 	localClaims map[string]*localClaim // by object name
 	expired     []store.Object         // found by Sweep and still to be deleted
+	sweptUpTo   string                 // name after which Sweep continues; empty: with the first claim
 }
 
 // localClaim is a claim between the start of Begin and the call of Finish in
--- a/claim/sweep.go
+++ b/claim/sweep.go
@@ -13,8 +13,8 @@
 
 // Sweep deletes a batch of claims older than Retention and returns how many it
 // deleted. Only the owner of shard 0 should call it, about once a second. It
-// lists the claims again only after it has deleted all that the last list
-// contained. Deletes count towards the write budget; Sweep stops early without
+// reads the next page of claims only after it has deleted all that the last one
+// contained, since all claims together may not fit into memory. Deletes count towards the write budget; Sweep stops early without
 // an error when the budget is used up.
 func (k *Keeper) Sweep(ctx context.Context) (int, error) {
 	nextBatch, err := k.nextBatch(ctx)
@@ -42,25 +42,37 @@
 }
 
 // nextBatch removes the next claims to delete from k.expired and returns them.
-// It lists the platform's claims if k.expired is empty.
+// It reads the next page of the platform's claims if k.expired is empty.
 func (k *Keeper) nextBatch(ctx context.Context) ([]store.Object, error) {
 	k.mu.Lock()
-	claims := k.expired
+	claims, after := k.expired, k.sweptUpTo
 	k.mu.Unlock()
 	if len(claims) == 0 {
-		objects, _, err := k.platform.List(ctx, store.KindClaim)
+		page, err := k.platform.ListPage(ctx, store.KindClaim, after)
 		if err != nil {
 			return nil, err
 		}
-		claims = expiredBefore(objects, k.clock().Add(-Retention))
+		claims = expiredBefore(page.Objects, k.clock().Add(-Retention))
+		if after, err = continueAfter(page, after); err != nil {
+			return nil, err
+		}
 	}
 	n := min(len(claims), sweepBatch)
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.expired = claims[n:]
+	k.expired, k.sweptUpTo = claims[n:], after
 	return claims[:n:n], nil
 }
 
+// continueAfter returns the name after which the page that follows one begins, or an empty
+// name if there are no further pages.
+func continueAfter(page store.Listing, previous string) (string, error) {
+	if !page.More {
+		return "", nil
+	}
+	return page.Next(previous)
+}
+
 // requeue puts claims that were not deleted back in front of k.expired.
 func (k *Keeper) requeue(claims []store.Object) {
 	k.mu.Lock()
--- a/objapi/objapi.go
+++ b/objapi/objapi.go
@@ -17,7 +17,8 @@
 // in responses and raw bytes in the body of a write.
 //
 //	GET    /objects/{kind}?name=N              one object
-//	GET    /objects/{kind}                     all objects of the kind and the store's version
+//	GET    /objects/{kind}?after=N             the objects of the kind whose names follow N, as many as fit into
+//	                                           a page, whether there are more, and the store's version
 //	PUT    /objects/{kind}?name=N&match=V      conditional write; V is the object's version, 0: must not exist
 //	DELETE /objects/{kind}?name=N&match=V      conditional delete
 //	GET    /watch/{kind}?after=V               waits for changes after version V
@@ -162,8 +163,8 @@
 func (s *Server) objects(c *fasthttp.RequestCtx, kind store.Kind) {
 	name := string(c.QueryArgs().Peek("name"))
 	if c.IsGet() && name == "" {
-		objects, version, err := s.mem.List(s.ctx, kind)
-		respond(c, store.Listing{Objects: objects, Version: version}, err)
+		page, err := s.mem.ListPage(s.ctx, kind, string(c.QueryArgs().Peek("after")))
+		respond(c, page, err)
 		return
 	}
 	if c.IsGet() {
--- a/objapi/objapi_test.go
+++ b/objapi/objapi_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -136,3 +137,34 @@
 	must.NoError(t, err)
 	must.Eq(t, []store.Host{h}, hosts)
 }
+
+// TestLongList guards against a list that no daemon can read because one answer with all
+// objects is larger than the daemon allows, and against objects that are missing from it.
+func TestLongList(t *testing.T) {
+	const maxAnswer = 16 << 20 // of the smallest daemon
+	s, _, base := startServer(t)
+	c := store.NewClient(base, store.WithMaxAnswer(maxAnswer))
+	defer c.Close()
+	value := make([]byte, store.MaxValue)
+	large := maxAnswer / len(value)
+	for i := range large {
+		_, err := s.Mem().Put(t.Context(), "large", fmt.Sprintf("%04d", i), value, 0)
+		must.NoError(t, err)
+	}
+	const small = 40_000
+	for i := range small {
+		_, err := s.Mem().Put(t.Context(), "small", fmt.Sprint(i), nil, 0)
+		must.NoError(t, err)
+	}
+	for kind, count := range map[store.Kind]int{"large": large, "small": small, "none": 0} {
+		objects, version, err := c.List(t.Context(), kind)
+		must.NoError(t, err)
+		must.EqOp(t, store.Version(large+small), version)
+		names := make(map[string]bool)
+		for _, o := range objects {
+			names[o.Name] = true
+		}
+		must.MapLen(t, count, names)
+		must.Len(t, count, objects)
+	}
+}
--- a/store/client.go
+++ b/store/client.go
@@ -137,6 +137,19 @@
 	return c.listAll(ctx, kind, Page{Stale: true})
 }
 
+// ListPage implements Store.
+func (c *Client) ListPage(ctx context.Context, kind Kind, after string) (Listing, error) {
+	l, _, err := c.readPage(ctx, kind, Page{After: after})
+	return l, err
+}
+
+// readPage reads one page of a list. It returns the size of the answer in bytes, too.
+func (c *Client) readPage(ctx context.Context, kind Kind, page Page) (Listing, int, error) {
+	r := c.roundTrip(ctx, c.dialect.List(kind, page), c.timeout)
+	l, err := decodeRead(r, kind, "", func(b []byte) (Listing, error) { return c.dialect.Listing(kind, b) })
+	return l, len(r.body), err
+}
+
 // listAll reads all pages of a list. It returns the version of the first page,
 // so that a watch from there also reports changes made while the other pages
 // were read.
@@ -144,14 +157,13 @@
 	var objects []Object
 	var version Version
 	for size := 0; ; {
-		r := c.roundTrip(ctx, c.dialect.List(kind, page), c.timeout)
-		if size += len(r.body); size > maxListAnswers*c.maxAnswer {
-			return nil, 0, ErrUnavailable(fmt.Sprintf("the list of %s: %v", kind, errTooLarge))
-		}
-		l, err := decodeRead(r, kind, "", func(b []byte) (Listing, error) { return c.dialect.Listing(kind, b) })
+		l, n, err := c.readPage(ctx, kind, page)
 		if err != nil {
 			return nil, 0, err
 		}
+		if size += n; size > maxListAnswers*c.maxAnswer {
+			return nil, 0, ErrUnavailable(fmt.Sprintf("the list of %s: %v", kind, errTooLarge))
+		}
 		if page.After == "" {
 			version = l.Version
 		}
@@ -159,24 +171,12 @@
 		if !l.More || len(l.Objects) == 0 {
 			return objects, version, nil
 		}
-		if page.After, err = lastName(l.Objects, page.After); err != nil {
+		if page.After, err = l.Next(page.After); err != nil {
 			return nil, 0, err
 		}
 	}
 }
 
-// lastName returns the name with which a list continues: the last one of a page that could
-// be read. What follows it on the page is read again with the next one. The page began
-// after the name previous.
-func lastName(objects []Object, previous string) (string, error) {
-	for i := len(objects) - 1; i >= 0; i-- {
-		if name := objects[i].Name; name != "" && name != previous {
-			return name, nil
-		}
-	}
-	return "", ErrUnavailable("a page of the list has no name that can be read")
-}
-
 // Put implements Store.
 func (c *Client) Put(ctx context.Context, kind Kind, name string, value []byte, match Version) (Version, error) {
 	return c.decodeWrite(c.roundTrip(ctx, c.dialect.Put(kind, name, value, match), c.timeout), kind, name)
--- a/store/dialect.go
+++ b/store/dialect.go
@@ -57,8 +57,12 @@
 	return Request{Method: fasthttp.MethodGet, Path: objectPath(kind), Query: url.Values{"name": {name}}}
 }
 
-func (objapiDialect) List(kind Kind, _ Page) Request {
-	return Request{Method: fasthttp.MethodGet, Path: objectPath(kind)}
+func (objapiDialect) List(kind Kind, p Page) Request {
+	r := Request{Method: fasthttp.MethodGet, Path: objectPath(kind)}
+	if p.After != "" {
+		r.Query = url.Values{"after": {p.After}}
+	}
+	return r
 }
 
 func (objapiDialect) Put(kind Kind, name string, value []byte, match Version) Request {
--- a/store/link.go
+++ b/store/link.go
@@ -26,6 +26,11 @@
 	return v.Objects, v.Version, err
 }
 
+// ListPage implements Store.
+func (l *Link) ListPage(ctx context.Context, kind Kind, after string) (Listing, error) {
+	return readWithFaults(ctx, l.Faults, func() (Listing, error) { return l.mem.ListPage(ctx, kind, after) })
+}
+
 // Put implements Store. The Mem receives a context without cancellation, as a delayed
 // write takes effect even if ctx has ended.
 func (l *Link) Put(ctx context.Context, kind Kind, name string, value []byte, match Version) (Version, error) {
--- a/store/mem.go
+++ b/store/mem.go
@@ -17,6 +17,9 @@
 const (
 	defaultWatchWait = 10 * time.Second
 	defaultHistory   = 4096
+	defaultPageBytes = 4 << 20
+	// objectOverhead is what an object adds to a page besides its name and its value.
+	objectOverhead = 128
 )
 
 // CallCounts counts the calls that a platform received, by operation. A watch counts
@@ -52,6 +55,7 @@
 	watchWait time.Duration
 	lag       time.Duration
 	history   int
+	pageBytes int
 
 	mu           sync.Mutex
 	version      Version
@@ -78,11 +82,15 @@
 // The default is 4096.
 func WithHistory(n int) MemOption { return func(m *Mem) { m.history = n } }
 
+// WithPageBytes sets the size in bytes that ends a page of ListPage. The default is 4 MiB.
+func WithPageBytes(n int) MemOption { return func(m *Mem) { m.pageBytes = n } }
+
 // NewMem returns an empty store.
 func NewMem(options ...MemOption) *Mem {
 	m := &Mem{
 		watchWait:    defaultWatchWait,
 		history:      defaultHistory,
+		pageBytes:    defaultPageBytes,
 		objects:      make(map[objectKey]Object),
 		changed:      make(chan struct{}),
 		visibleHosts: make(map[model.HostID]Host),
@@ -130,6 +138,29 @@
 	return l
 }
 
+// ListPage implements Store.
+func (m *Mem) ListPage(ctx context.Context, kind Kind, after string) (Listing, error) {
+	return readWithFaults(ctx, m.Faults, func() (Listing, error) { return m.list(kind).page(after, m.pageBytes), nil })
+}
+
+// page returns the objects of an ordered list that follow a name, up to the one with which
+// they reach a size in bytes.
+func (l Listing) page(after string, bytes int) Listing {
+	first := len(l.Objects)
+	for i, o := range l.Objects {
+		if o.Name > after {
+			first = i
+			break
+		}
+	}
+	end := first
+	for size := 0; end < len(l.Objects) && size < bytes; end++ {
+		o := &l.Objects[end]
+		size += len(o.Name) + len(o.Value) + objectOverhead
+	}
+	return Listing{Objects: l.Objects[first:end], Version: l.Version, More: end < len(l.Objects)}
+}
+
 // Put implements Store.
 func (m *Mem) Put(ctx context.Context, kind Kind, name string, value []byte, match Version) (Version, error) {
 	if len(value) > MaxValue {
--- a/store/proto.go
+++ b/store/proto.go
@@ -7,6 +7,18 @@
 	More    bool     `json:"more,omitempty"` // there are further pages
 }
 
+// Next returns the name with which a list continues: the last one of a page that could be
+// read. What follows it on the page is read again with the next one. The page began after
+// the name previous.
+func (l Listing) Next(previous string) (string, error) {
+	for i := len(l.Objects) - 1; i >= 0; i-- {
+		if name := l.Objects[i].Name; name != "" && name != previous {
+			return name, nil
+		}
+	}
+	return "", ErrUnavailable("a page of the list has no name that can be read")
+}
+
 // Changes is the answer to a watch call.
 type Changes struct {
 	Events  []Event `json:"events"`
--- a/store/store.go
+++ b/store/store.go
@@ -102,6 +102,9 @@
 	// List reads all objects of a kind. It also returns the version from which to
 	// watch for later changes.
 	List(ctx context.Context, kind Kind) ([]Object, Version, error)
+	// ListPage reads the objects of a kind whose names follow a name, in the order of
+	// names, as many as the platform returns at once.
+	ListPage(ctx context.Context, kind Kind, after string) (Listing, error)
 	// Put writes an object if its version is match and returns the new version. A
 	// match of 0 means that the object must not exist.
 	Put(ctx context.Context, kind Kind, name string, value []byte, match Version) (Version, error)
