--- a/exch/room.go
+++ b/exch/room.go
@@ -101,12 +101,14 @@
 
 // maxBegun is the size of a response of unknown size from which on all that it may still need
 // is reserved at once. Otherwise many such responses could each hold a part of the memory and
-// wait for the rest until their deadlines.
-const maxBegun = 340 << 10
+// wait for the rest until their deadlines. It is the size of the first segments of package
+// budget, up to one of the largest size.
+const maxBegun = (4 + 16 + 64 + 256) << 10
 
 // maxFraming is how much larger the framing of a buffered response may be than its data, in
 // bytes. With chunks of a few bytes, the processor would be busy with one response until the
-// deadline.
+// deadline. A chunk of one byte has five bytes of framing, so that up to 64 KiB may come in
+// such chunks.
 const maxFraming = 256 << 10
 
 // errFraming is the cause of an exchange whose response consists of chunks of a few bytes.
--- a/store/endless_test.go
+++ b/store/endless_test.go
@@ -36,7 +36,7 @@
 			runtime.ReadMemStats(&after)
 			test.Error(t, listErr)
 			test.Error(t, watchErr)
-			// A buffer that doubles adds up to four times an answer.
+			// Of each answer, a buffer that doubles adds up to four times the limit, and a copy to one.
 			test.Less(t, 10*limit, after.TotalAlloc-before.TotalAlloc, test.Sprint("bytes allocated for two answers"))
 		})
 	}
