place: announcements of targets whose entry has lapsed are kept

Callers and targets would see: a target that said it leaves gets requests again, once its entry lapses in the store and comes back, if the answer or the report of another host arrived while the entry was away. The requests are lost if the target ends meanwhile.

Cause: an answer was recorded on the state that the request was sent to, which is not used any more after the entry has lapsed; a report was dropped if the target was not listed; and what was known of the next incarnation was replaced by that of the listed one when the list changed.

Change: answers are recorded on the listed state of the same incarnation, and answers and reports about targets that are not listed are remembered like those of listed ones.

--- a/place/announce.go
+++ b/place/announce.go
@@ -34,7 +34,7 @@
 type formerTarget struct {
 	startedAt  int64 // start time of the incarnation, as in model.Instance
 	announced  announced
-	lastListed time.Time
+	lastListed time.Time // or the time of the announcement, if it came later
 }
 
 // isLeaving reports whether the target must get no new requests, since it is listed as
@@ -75,10 +75,8 @@
 // recordAnnounced remembers what the listed targets announced, and forgets that of targets
 // that were last listed long ago. The caller holds b.mu.
 func (b *Balancer) recordAnnounced(now time.Time) {
-	for id, t := range b.targets {
-		if t.announced != (announced{}) {
-			b.former[id] = formerTarget{startedAt: t.StartedAt, announced: t.announced, lastListed: now}
-		}
+	for _, t := range b.targets {
+		b.remember(now, t)
 	}
 	for id, f := range b.former {
 		if now.Sub(f.lastListed) > announcedMemory {
@@ -87,6 +85,14 @@
 	}
 }
 
+// remember remembers what a target announced, unless that of a later incarnation is known.
+// The caller holds b.mu.
+func (b *Balancer) remember(now time.Time, t *Target) {
+	if t.announced != (announced{}) && t.StartedAt >= b.former[t.ID].startedAt {
+		b.former[t.ID] = formerTarget{startedAt: t.StartedAt, announced: t.announced, lastListed: now}
+	}
+}
+
 // restoreAnnounced restores what a target announced that is listed again. The caller
 // holds the balancer's lock.
 func (t *Target) restoreAnnounced() {
@@ -100,9 +106,33 @@
 func (b *Balancer) AddRemoteLeaving(now time.Time, id model.TargetID, startedAt int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if t := b.targets[id]; t != nil && t.StartedAt == startedAt && t.announced.leavingSince.IsZero() {
-		t.announced.leavingSince = now
+	if t := b.targets[id]; t != nil && t.StartedAt == startedAt {
+		if t.announced.leavingSince.IsZero() {
+			t.announced.leavingSince = now
+		}
+		return
+	}
+	f := b.former[id]
+	if startedAt < f.startedAt {
+		return
+	}
+	if startedAt > f.startedAt {
+		f = formerTarget{startedAt: startedAt}
+	}
+	if f.announced.leavingSince.IsZero() {
+		f.announced.leavingSince = now
 	}
+	f.lastListed = now
+	b.former[id] = f
+}
+
+// current returns the state of the same incarnation that is listed now. If the entry has
+// lapsed since a request was sent, it is t itself. The caller holds the balancer's lock.
+func (t *Target) current() *Target {
+	if listed := t.balancer.targets[t.ID]; listed != nil && listed.StartedAt == t.StartedAt {
+		return listed
+	}
+	return t
 }
 
 // News tells which parts of an announcement are new.
@@ -115,8 +145,19 @@
 
 // Announce records an announcement of the target to this daemon.
 func (t *Target) Announce(now time.Time, a Announcement) News {
-	t.balancer.mu.Lock()
-	defer t.balancer.mu.Unlock()
+	b := t.balancer
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t = t.current()
+	news := t.applyAnnouncement(now, a)
+	if b.targets[t.ID] == nil {
+		b.remember(now, t)
+	}
+	return news
+}
+
+// applyAnnouncement changes the state of the target. The caller holds the balancer's lock.
+func (t *Target) applyAnnouncement(now time.Time, a Announcement) News {
 	news := News{Listed: t.Leaving, StartedAt: t.StartedAt}
 	if a.Leaving && t.announced.leavingSince.IsZero() {
 		t.announced.leavingSince, news.Leaving = now, true
@@ -219,6 +260,7 @@
 func (t *Target) LeavingFor(now time.Time) (time.Duration, bool) {
 	t.balancer.mu.Lock()
 	defer t.balancer.mu.Unlock()
+	t = t.current()
 	if t.announced.leavingSince.IsZero() {
 		return 0, false
 	}
--- a/place/announce_test.go
+++ b/place/announce_test.go
@@ -48,6 +48,11 @@
 	target.Announce(now, Announcement{Leaving: true, Limited: true, Limit: 5, RetryAfter: time.Second})
 	test.True(t, target.announced == relist(1000))
 	test.True(t, relist(1001) == announced{})
+	b.targets["a"].Announce(now, Announcement{RetryAfter: time.Second})
+	b.AddRemoteLeaving(now, "a", 1002) // before it is listed
+	instance.StartedAt = 1002
+	b.Update(now, map[model.PoolID][]*model.Instance{"p": {&instance}})
+	test.True(t, b.targets["a"].isLeaving())
 
 	b.targets["a"].Announce(now, Announcement{Leaving: true})
 	b.Update(now, nil)
@@ -56,6 +61,43 @@
 	test.MapLen(t, 0, b.former)
 }
 
+// TestAnnouncedUnlisted guards against an announcement that is lost because the entry of the
+// target had lapsed when it came, or had lapsed and was listed again meanwhile.
+func TestAnnouncedUnlisted(t *testing.T) {
+	now := time.Unix(0, 0)
+	leaving := Announcement{Leaving: true}
+	for name, tt := range map[string]struct {
+		announce  func(b *Balancer, sent *Target)
+		startedAt int64
+		lost      bool
+	}{
+		"its answer":                        {func(_ *Balancer, sent *Target) { sent.Announce(now, leaving) }, 1000, false},
+		"report of another host":            {func(b *Balancer, _ *Target) { b.AddRemoteLeaving(now, "a", 1000) }, 1000, false},
+		"answer of an earlier incarnation":  {func(_ *Balancer, sent *Target) { sent.Announce(now, leaving) }, 1001, true},
+		"report of an earlier incarnation":  {func(b *Balancer, _ *Target) { b.AddRemoteLeaving(now, "a", 1000) }, 1001, true},
+		"late report after one of the next": {func(b *Balancer, _ *Target) { b.AddRemoteLeaving(now, "a", 1001); b.AddRemoteLeaving(now, "a", 1000) }, 1001, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, relistFirst := range []bool{false, true} {
+				b, sent := newAnnouncing(t, now)
+				instance := sent.Instance
+				instance.StartedAt = tt.startedAt
+				listed := map[model.PoolID][]*model.Instance{"p": {&instance}}
+				b.Update(now, nil)
+				if relistFirst {
+					b.Update(now, listed)
+				}
+				tt.announce(b, sent)
+				if !relistFirst {
+					b.Update(now, listed)
+				}
+				_, used := b.Choose(now, Request{Pool: "p"}, rand.IntN)
+				test.EqOp(t, tt.lost, used, test.Sprint("listed before the announcement: ", relistFirst))
+			}
+		})
+	}
+}
+
 // TestPauseLeft guards against a Retry-After of one target's pause while others take requests.
 func TestPauseLeft(t *testing.T) {
 	now := time.Unix(0, 0)
