watch: changes are relayed before they are decoded

Cause: a change was relayed from the list in which it was applied, and it was applied after it had been decoded: 0.14 s of a core for 1 MB, 0.45 s on a third of a core, on each host of the chain from the store.

Change: a change that has arrived is handed on while it is decoded, if it continues the host's copy and all of its entries can be read, with the age of its own proof. Neighbours without a copy, or that need all entries, get them as before; nothing is handed back to the neighbour that relayed it.

--- a/watch/doc.go
+++ b/watch/doc.go
@@ -9,6 +9,10 @@
 // that. The watch of the targets is long. It is restarted when another list shows
 // that the store changed and this watch did not return.
 //
+// Changes are relayed as soon as they have arrived, before this host has decoded them: a
+// configuration of the largest size would otherwise be decoded by one host after the other
+// on its way.
+//
 // An entry that disappeared while the store was unreachable may have lapsed only
 // because its target could not renew it. It is kept until the targets have had
 // time to renew.
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -123,6 +123,7 @@
 	floor        store.Version // version from which on records holds all removals
 	removedCount int           // number of records of removed entries
 	odd          oddEntries    // entries that cannot be read
+	arrived      *arrival      // changes that are being prepared, for relays to neighbours; nil: none
 
 	failures   int           // consecutive failed calls
 	losses     int           // consecutive watches that could not be continued
@@ -257,6 +258,7 @@
 		return false, err
 	}
 	f.losses = 0
+	f.setArrived(&arrival{known: from, version: version, events: events, completeAt: sent})
 	f.prepareEvents(events)
 	f.applyAnswer(version, sent, func() { f.applyEvents(events, version) })
 	return len(events) > 0, nil
@@ -277,15 +279,6 @@
 	return nil
 }
 
-// prepareEvents prepares the entries of changes.
-func (f *follower) prepareEvents(events []store.Event) {
-	for i := range events {
-		if !events[i].Deleted {
-			f.prepare(&events[i].Object)
-		}
-	}
-}
-
 // errRestarted is the cause with which a watch is cancelled to be restarted.
 var errRestarted = errors.New("the watch is restarted")
 
@@ -312,6 +305,15 @@
 	return events, version, err
 }
 
+// prepareEvents prepares the entries of changes.
+func (f *follower) prepareEvents(events []store.Event) {
+	for i := range events {
+		if !events[i].Deleted {
+			f.prepare(&events[i].Object)
+		}
+	}
+}
+
 // applyAnswer applies an answer to a call that was sent at the boot time sent,
 // unless a newer list was relayed in the meantime.
 func (f *follower) applyAnswer(version store.Version, sent time.Duration, apply func()) {
@@ -341,13 +343,13 @@
 			sound = append(sound, o)
 		}
 	}
-	f.version, f.floor, f.removedCount = version, version, 0
+	f.version, f.floor, f.removedCount, f.arrived = version, version, 0, nil
 	f.onList(sound)
 }
 
 // applyEvents applies changes up to a version. The caller holds f.mu.
 func (f *follower) applyEvents(events []store.Event, version store.Version) {
-	f.version = version
+	f.version, f.arrived = version, nil
 	if len(events) == 0 {
 		return
 	}
@@ -377,17 +379,26 @@
 
 // readable reports whether an entry can be read, and records it if not.
 func (f *follower) readable(o *store.Object) bool {
+	o.Problem = f.problemOf(o)
+	if o.Problem == "" {
+		return true
+	}
+	f.odd.add(f.kind, o, o.Problem)
+	return false
+}
+
+// problemOf returns why an entry cannot be read, or an empty string.
+func (f *follower) problemOf(o *store.Object) string {
 	switch {
 	case o.Problem != "":
+		return o.Problem
 	case o.Name == "" || len(o.Name) > store.MaxName:
-		o.Problem = "its name is empty or too long"
+		return "its name is empty or too long"
 	case len(o.Value) > f.maxValue:
-		o.Problem = fmt.Sprintf("its value has %d bytes, more than %d", len(o.Value), f.maxValue)
+		return fmt.Sprintf("its value has %d bytes, more than %d", len(o.Value), f.maxValue)
 	default:
-		return true
+		return ""
 	}
-	f.odd.add(f.kind, o, o.Problem)
-	return false
 }
 
 // dropRemoved drops the records of removed entries. Neighbours whose copy is older
--- a/watch/relay.go
+++ b/watch/relay.go
@@ -23,17 +23,23 @@
 	age := f.storeAge()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if u, ok := f.arrivedSince(known, to); ok {
+		return u
+	}
 	outdated := age >= maxRelayAge || !f.canRelay(to)
 	if f.version == 0 || age == neverCompleteAge || outdated && (f.version <= known || f.relayedBy == to) {
 		return mesh.ListUpdate{}
 	}
 	// A neighbour that called the store itself may have a newer copy. It gets an
-	// update without events, which confirms that this daemon will relay changes. The
-	// age is rounded up to whole milliseconds.
-	u := mesh.ListUpdate{Version: max(f.version, known), Complete: known < f.floor, Age: model.Millis(age/time.Millisecond) + 1, Outdated: outdated}
-	for _, e := range f.records {
-		if u.Complete && !e.event.Deleted || !u.Complete && e.updateVersion > known {
-			u.Events = append(u.Events, e.event)
+	// update without events, which confirms that this daemon will relay changes.
+	u := mesh.ListUpdate{Version: max(f.version, known), Complete: known < f.floor, Age: roundUpAge(age), Outdated: outdated}
+	if !u.Complete {
+		u.Events = f.eventsAfter(known)
+		return u
+	}
+	for _, r := range f.records {
+		if !r.event.Deleted {
+			u.Events = append(u.Events, r.event)
 		}
 	}
 	return u
@@ -72,6 +78,9 @@
 	if u.Version == 0 {
 		return
 	}
+	if !u.Complete && !u.Outdated && !offered {
+		f.setArrived(&arrival{known: known, version: u.Version, events: u.Events, completeAt: at - u.Age.Duration(), from: relayedBy})
+	}
 	f.prepareEvents(u.Events)
 	if f.age() > lapseAge {
 		f.beforeApply()
