--- a/caller/conn.go
+++ b/caller/conn.go
@@ -153,11 +153,7 @@
 	for {
 		c.mu.Lock()
 		buffered := c.in.Buffered() > 0
-		c.closing = c.closing && !buffered && len(c.queue) == 0
-		if !c.readLimit.IsZero() && (len(c.queue) > 0 || !buffered && !c.closing) {
-			c.last = true
-		}
-		if c.broken || c.last && len(c.queue) == 0 {
+		if c.hasEnded(buffered) {
 			c.mu.Unlock()
 			return false
 		}
@@ -180,6 +176,16 @@
 	}
 }
 
+// hasEnded reports whether the connection has ended. In a stop, no request is taken of which
+// no byte has been read, except by a last read. The caller holds c.mu.
+func (c *conn) hasEnded(buffered bool) bool {
+	c.closing = c.closing && !buffered && len(c.queue) == 0
+	if !c.readLimit.IsZero() && (len(c.queue) > 0 || !buffered && !c.closing) {
+		c.last = true
+	}
+	return c.broken || c.last && len(c.queue) == 0
+}
+
 // countHeld counts the first time that a limit keeps a request from being read, and
 // returns whether it was counted. The caller holds c.mu.
 func (c *conn) countHeld(counted bool) bool {
