--- a/claim/sweep.go
+++ b/claim/sweep.go
@@ -14,8 +14,8 @@
 // Sweep deletes a batch of claims older than Retention and returns how many it
 // deleted. Only the owner of shard 0 should call it, about once a second. It
 // reads the next page of claims only after it has deleted all that the last one
-// contained, since all claims together may not fit into memory. Deletes count towards the write budget; Sweep stops early without
-// an error when the budget is used up.
+// contained, since all claims together may not fit into memory. Deletes count towards
+// the write budget; Sweep stops early without an error when the budget is used up.
 func (k *Keeper) Sweep(ctx context.Context) (int, error) {
 	nextBatch, err := k.nextBatch(ctx)
 	if err != nil {
