--- a/conf/snapshot.go
+++ b/conf/snapshot.go
@@ -97,8 +97,12 @@
 
 // index builds the lookup maps from the decoded chunks.
 func (s *Snapshot) index() {
-	s.customers = make(map[model.CustomerID]*model.Customer)
-	s.keys = make(map[model.Digest]keyOwner)
+	customers := 0
+	for _, ch := range s.decoded {
+		customers += len(ch.Customers)
+	}
+	s.customers = make(map[model.CustomerID]*model.Customer, customers)
+	s.keys = make(map[model.Digest]keyOwner, customers)
 	s.pools = make(map[model.PoolID]*model.Pool)
 	s.routes = make(map[routeKey]*model.Route)
 	s.minRanks = make(map[model.PoolID]int)
