--- a/store/mem.go
+++ b/store/mem.go
@@ -17,7 +17,9 @@
 const (
 	defaultWatchWait = 10 * time.Second
 	defaultHistory   = 4096
-	defaultPageBytes = 4 << 20
+	// defaultPageBytes leaves a page with one of the largest objects at its end small enough
+	// for the time limit of a call between regions.
+	defaultPageBytes = 1 << 20
 	// objectOverhead is what an object adds to a page besides its name and its value.
 	objectOverhead = 128
 )
@@ -82,7 +84,7 @@
 // The default is 4096.
 func WithHistory(n int) MemOption { return func(m *Mem) { m.history = n } }
 
-// WithPageBytes sets the size in bytes that ends a page of ListPage. The default is 4 MiB.
+// WithPageBytes sets the size in bytes that ends a page of ListPage. The default is 1 MiB.
 func WithPageBytes(n int) MemOption { return func(m *Mem) { m.pageBytes = n } }
 
 // NewMem returns an empty store.
