store, entry: the era of the store is logged

Change: the client reads the header with the era, and an entry host logs when it rises. No decision uses it yet.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -177,7 +177,13 @@
 // client returns a client of the store that lets it hold a watch for up to wait.
 func (e *Entry) client(wait time.Duration) *store.Client {
 	return store.NewClient("http://"+e.settings.StoreAddress, store.WithDialect(e.adapter.Dialect()),
-		store.WithMaxWatchWait(wait), store.WithWatchTimeout(wait+answerWait), store.WithTimeout(answerWait), store.WithMaxAnswer(maxStoreAnswer))
+		store.WithMaxWatchWait(wait), store.WithWatchTimeout(wait+answerWait), store.WithTimeout(answerWait), store.WithMaxAnswer(maxStoreAnswer),
+		store.WithEraObserver(e.logEra))
+}
+
+// logEra logs that the store came back from an older copy.
+func (e *Entry) logEra(before, after store.Era) {
+	e.log.Warn().Uint32("era", uint32(after)).Uint32("before", uint32(before)).Msg("store came back from an older copy")
 }
 
 // provideServices registers the services in the order in which they are started.
--- a/store/client.go
+++ b/store/client.go
@@ -46,6 +46,7 @@
 	watchTimeout time.Duration
 	watchWait    time.Duration
 	maxAnswer    int
+	eras         eraTracker
 	http         *fasthttp.HostClient
 }
 
@@ -73,10 +74,17 @@
 // memory. The default is 32 MiB.
 func WithMaxAnswer(n int) ClientOption { return func(c *Client) { c.maxAnswer = n } }
 
+// WithEraObserver sets a function that is called when an answer shows that the store came back
+// from an older copy. It must return quickly.
+func WithEraObserver(f func(before, after Era)) ClientOption {
+	return func(c *Client) { c.eras.onChange = f }
+}
+
 // NewClient returns a client of the platform at a base URL such as
 // "http://10.0.0.1:7000".
 func NewClient(base string, options ...ClientOption) *Client {
 	c := &Client{base: base, dialect: objapiDialect{}, timeout: defaultTimeout, watchTimeout: defaultWatchTimeout, watchWait: defaultWatchTimeout, maxAnswer: defaultMaxAnswer}
+	c.eras.onChange = func(_, _ Era) {}
 	for _, o := range options {
 		o(c)
 	}
@@ -116,6 +124,7 @@
 // answer arrived.
 type response struct {
 	status int
+	era    Era
 	body   []byte
 	err    error
 }
@@ -253,7 +262,12 @@
 		}
 		return response{err: err}
 	}
-	return response{status: resp.StatusCode(), body: append([]byte(nil), resp.Body()...)}
+	era, err := parseEra(resp.Header.Peek(c.dialect.EraHeader()))
+	if err != nil {
+		return response{err: err}
+	}
+	c.eras.observe(era)
+	return response{status: resp.StatusCode(), era: era, body: append([]byte(nil), resp.Body()...)}
 }
 
 // decodeRead decodes the answer to a read. Without a usable answer the error has
--- a/store/dialect.go
+++ b/store/dialect.go
@@ -36,6 +36,8 @@
 	// call for up to wait until there is one.
 	Watch(kind Kind, after Version, wait time.Duration) Request
 	Hosts() Request
+	// EraHeader returns the name of the header in which each answer names the store's Era.
+	EraHeader() string
 
 	// The methods below decode the body of a successful answer.
 
@@ -48,6 +50,9 @@
 	HostList(body []byte) ([]Host, error)
 }
 
+// HeaderEra is the header with the Era in the answers of package objapi.
+const HeaderEra = "Store-Era"
+
 // objapiDialect is the dialect of package objapi.
 type objapiDialect struct{}
 
@@ -80,6 +85,8 @@
 
 func (objapiDialect) Hosts() Request { return Request{Method: fasthttp.MethodGet, Path: "/hosts"} }
 
+func (objapiDialect) EraHeader() string { return HeaderEra }
+
 func (objapiDialect) Object(_ Kind, body []byte) (Object, error) { return decode[Object](body) }
 
 func (objapiDialect) Listing(kind Kind, body []byte) (Listing, error) {
