store, watch: versions are ordered by the era of the store

Cause: a revision was taken for the identity and the age of a state of the store. The store gives revisions out again after its return, so version 13 came at revision 81, where all hosts held version 11. The first host read it; all others were told by their neighbours that nothing had changed since 81. The same comparison decided on the cache of the decoded configuration, on the marks of what other lists had seen, and on conditions of writes.

Change: store.Version holds the era in its high bits and the revision in the others. The client adds the era from the header of each answer, so every comparison, relay, cache and condition orders (era, revision). An answer to a watch from an earlier era counts as lost history; a write whose condition is of an earlier era is refused as a conflict, and one that was executed in a later era is reported as unknown; a list whose pages are of two eras, and an answer from before a known era, are not used. The copy of a list is kept while it is read again: a copy of version 0 made all neighbours send the complete list. store.Mem and objapi can be copied and restored.

Evidence: TestChangeAfterRestore failed before in three runs of three and passes. TestRestoredRelay (watch), TestRestore, TestWriteAcrossRestore, TestWaitingWatch (objapi), TestListAcrossEras (store).

--- a/objapi/objapi.go
+++ b/objapi/objapi.go
@@ -27,8 +27,14 @@
 //	DELETE /hosts/{id}                         removes a host
 //	GET    /faults, PUT /faults                the injected faults (see Faults)
 //	POST   /compact                            discards old changes, so that watchers must list again
+//	POST   /copy                               copies all objects
+//	POST   /restore                            replaces all objects by those of the last copy and begins a new era
 //	GET    /calls                              the number of received calls by type
 //
+// Each response names the store's era in the header Store-Era. Versions are revisions of that era:
+// they go back and are given out again when a new era begins. A watch from a revision that the
+// store doesn't have is answered as one from a discarded one.
+//
 // The status codes are 200, 400 (invalid call), 404 (no such object), 409 (the
 // version does not match), 410 (the requested changes were discarded), 413 (value
 // too large) and 503 (the call had no effect). A lost response is a connection
@@ -40,8 +46,10 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -69,6 +77,7 @@
 // Server serves a store.Mem over HTTP.
 type Server struct {
 	mem    *store.Mem
+	copied atomic.Pointer[store.Copy] // the last copy; nil: none
 	http   *fasthttp.Server
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -135,6 +144,7 @@
 // them.
 func (s *Server) Handler() fasthttp.RequestHandler {
 	return func(c *fasthttp.RequestCtx) {
+		defer func() { c.Response.Header.Set(store.HeaderEra, strconv.FormatUint(uint64(s.mem.Era()), 10)) }()
 		resource, argument, _ := strings.Cut(strings.TrimPrefix(string(c.Path()), "/"), "/")
 		switch resource {
 		case "objects":
@@ -151,6 +161,11 @@
 		case "compact":
 			s.mem.Compact()
 			respond(c, struct{}{}, nil)
+		case "copy":
+			s.copied.Store(new(s.mem.Copy()))
+			respond(c, struct{}{}, nil)
+		case "restore":
+			s.restore(c)
 		case "calls":
 			respond(c, s.mem.CallCounts(), nil)
 		default:
@@ -159,16 +174,32 @@
 	}
 }
 
+// restore restores the last copy.
+func (s *Server) restore(c *fasthttp.RequestCtx) {
+	last := s.copied.Load()
+	if last == nil {
+		respondError(c, fault.Invalid("restore", "there is no copy", "call /copy first"))
+		return
+	}
+	s.mem.Restore(*last)
+	respond(c, struct{}{}, nil)
+}
+
 // objects handles reads of objects and passes other methods to write.
 func (s *Server) objects(c *fasthttp.RequestCtx, kind store.Kind) {
 	name := string(c.QueryArgs().Peek("name"))
 	if c.IsGet() && name == "" {
 		page, err := s.mem.ListPage(s.ctx, kind, string(c.QueryArgs().Peek("after")))
+		page.Version = revision(page.Version)
+		for i := range page.Objects {
+			page.Objects[i].Version = revision(page.Objects[i].Version)
+		}
 		respond(c, page, err)
 		return
 	}
 	if c.IsGet() {
 		o, err := s.mem.Get(s.ctx, kind, name)
+		o.Version = revision(o.Version)
 		respond(c, o, err)
 		return
 	}
@@ -177,7 +208,7 @@
 
 // write handles conditional writes and deletes.
 func (s *Server) write(c *fasthttp.RequestCtx, kind store.Kind, name string) {
-	match, err := versionParam(c, "match")
+	match, err := s.versionParam(c, "match")
 	if err != nil {
 		respondError(c, err)
 		return
@@ -187,7 +218,7 @@
 		respondError(c, fault.Invalid("name", "is missing", "name the object"))
 	case c.IsPut():
 		version, err := s.mem.Put(s.ctx, kind, name, c.PostBody(), match)
-		respond(c, store.Answer{Version: version}, err)
+		respond(c, store.Answer{Version: revision(version)}, err)
 	case c.IsDelete():
 		respond(c, store.Answer{}, s.mem.Delete(s.ctx, kind, name, match))
 	default:
@@ -197,13 +228,18 @@
 
 // watch waits for changes after the version of the query.
 func (s *Server) watch(c *fasthttp.RequestCtx, kind store.Kind) {
-	after, err := versionParam(c, "after")
+	after, err := s.versionParam(c, "after")
 	if err != nil {
 		respondError(c, err)
 		return
 	}
 	events, version, err := s.mem.Watch(s.ctx, kind, after)
-	respond(c, store.Changes{Events: events, Version: version}, err)
+	changes := store.Changes{Events: slices.Clone(events), Version: revision(version)}
+	for i := range changes.Events {
+		o := &changes.Events[i].Object
+		o.Version = revision(o.Version)
+	}
+	respond(c, changes, err)
 }
 
 // hosts handles reads and changes of the host list.
@@ -259,14 +295,20 @@
 	c.Hijack(func(net.Conn) {})
 }
 
-// versionParam returns the version in the query parameter of the given name. Errors are of kind
-// fault.KindInvalid.
-func versionParam(c *fasthttp.RequestCtx, name string) (store.Version, error) {
+// revision returns a version as it is sent: without the era, which is in the header.
+func revision(v store.Version) store.Version { return store.NewVersion(0, v.Revision()) }
+
+// versionParam returns the version with the revision in the query parameter of the given name, or
+// 0 for revision 0. Errors are of kind fault.KindInvalid.
+func (s *Server) versionParam(c *fasthttp.RequestCtx, name string) (store.Version, error) {
 	n, err := strconv.ParseUint(string(c.QueryArgs().Peek(name)), 10, 64)
 	if err != nil {
 		return 0, fault.Invalid(name, "is not a version", "send the version that was read, or 0")
 	}
-	return store.Version(n), nil
+	if n == 0 {
+		return 0, nil
+	}
+	return store.NewVersion(s.mem.Era(), n), nil
 }
 
 // respond sends value as JSON, or err with its status if it is not nil.
--- a/objapi/objapi_test.go
+++ b/objapi/objapi_test.go
@@ -17,8 +17,8 @@
 
 // startServer serves on a free port until the test ends. It returns the server, a
 // client and the base URL.
-func startServer(t *testing.T) (s *Server, c *store.Client, base string) {
-	s = New()
+func startServer(t *testing.T, options ...Option) (s *Server, c *store.Client, base string) {
+	s = New(options...)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	done := make(chan error, 1)
--- a/store/client.go
+++ b/store/client.go
@@ -123,16 +123,22 @@
 // response is the result of one exchange: a status and a body, or an error if no
 // answer arrived.
 type response struct {
-	status int
-	era    Era
-	body   []byte
-	err    error
+	status   int
+	era      Era
+	outdated bool // another answer has named a later era
+	body     []byte
+	err      error
 }
 
 // Get implements Store.
 func (c *Client) Get(ctx context.Context, kind Kind, name string) (Object, error) {
 	r := c.roundTrip(ctx, c.dialect.Get(kind, name), c.timeout)
-	return decodeRead(r, kind, name, func(b []byte) (Object, error) { return c.dialect.Object(kind, b) })
+	return decodeRead(r, kind, name, func(b []byte) (Object, error) {
+		o, err := c.dialect.Object(kind, b)
+		err = errors.Join(err, checkRevision(o.Version))
+		o.Version = o.Version.in(r.era)
+		return o, err
+	})
 }
 
 // List implements Store.
@@ -155,7 +161,18 @@
 // readPage reads one page of a list. It returns the size of the answer in bytes, too.
 func (c *Client) readPage(ctx context.Context, kind Kind, page Page) (Listing, int, error) {
 	r := c.roundTrip(ctx, c.dialect.List(kind, page), c.timeout)
-	l, err := decodeRead(r, kind, "", func(b []byte) (Listing, error) { return c.dialect.Listing(kind, b) })
+	r.outdated = r.outdated && !page.Stale
+	l, err := decodeRead(r, kind, "", func(b []byte) (Listing, error) {
+		l, err := c.dialect.Listing(kind, b)
+		if err = errors.Join(err, checkRevision(l.Version)); err != nil {
+			return l, err
+		}
+		l.Version = l.Version.in(r.era)
+		for i := range l.Objects {
+			l.Objects[i].Version = l.Objects[i].Version.in(r.era)
+		}
+		return l, nil
+	})
 	return l, len(r.body), err
 }
 
@@ -176,6 +193,9 @@
 		if page.After == "" {
 			version = l.Version
 		}
+		if l.Version.Era() != version.Era() {
+			return nil, 0, ErrUnavailable(fmt.Sprintf("the list of %s: %v while it was read", kind, ErrRestored))
+		}
 		objects = append(objects, l.Objects...)
 		if !l.More || len(l.Objects) == 0 {
 			return objects, version, nil
@@ -188,12 +208,18 @@
 
 // Put implements Store.
 func (c *Client) Put(ctx context.Context, kind Kind, name string, value []byte, match Version) (Version, error) {
-	return c.decodeWrite(c.roundTrip(ctx, c.dialect.Put(kind, name, value, match), c.timeout), kind, name)
+	if match != 0 && c.eras.outdates(match) {
+		return 0, ErrConflict(kind, name)
+	}
+	return c.decodeWrite(c.roundTrip(ctx, c.dialect.Put(kind, name, value, match), c.timeout), kind, name, match)
 }
 
 // Delete implements Store.
 func (c *Client) Delete(ctx context.Context, kind Kind, name string, match Version) error {
-	_, err := c.decodeWrite(c.roundTrip(ctx, c.dialect.Delete(kind, name, match), c.timeout), kind, name)
+	if match != 0 && c.eras.outdates(match) {
+		return ErrConflict(kind, name)
+	}
+	_, err := c.decodeWrite(c.roundTrip(ctx, c.dialect.Delete(kind, name, match), c.timeout), kind, name, match)
 	return err
 }
 
@@ -212,11 +238,29 @@
 // maxWait for the first one. The call fails after timeout. Changes that are too large for
 // one answer are as good as discarded: the objects can be listed, in pages.
 func (c *Client) readChanges(ctx context.Context, kind Kind, after Version, maxWait, timeout time.Duration) ([]Event, Version, error) {
+	if c.eras.outdates(after) {
+		return nil, 0, errRestored()
+	}
 	r := c.roundTrip(ctx, c.dialect.Watch(kind, after, maxWait), timeout)
-	if errors.Is(r.err, errTooLarge) {
+	switch {
+	case errors.Is(r.err, errTooLarge):
 		return nil, 0, ErrCompacted()
+	case r.err == nil && r.era > after.Era() && (r.status == fasthttp.StatusOK || r.status == fasthttp.StatusGone):
+		// Without this check, changes between the copy and a revision that was given out again
+		// would be missing.
+		return nil, 0, errRestored()
 	}
-	w, err := decodeRead(r, kind, "", func(b []byte) (Changes, error) { return c.dialect.Changes(kind, b) })
+	w, err := decodeRead(r, kind, "", func(b []byte) (Changes, error) {
+		w, err := c.dialect.Changes(kind, b)
+		if err = errors.Join(err, checkRevision(w.Version)); err != nil {
+			return w, err
+		}
+		w.Version = w.Version.in(r.era)
+		for i := range w.Events {
+			w.Events[i].Object.Version = w.Events[i].Object.Version.in(r.era)
+		}
+		return w, nil
+	})
 	return w.Events, w.Version, err
 }
 
@@ -266,24 +310,35 @@
 	if err != nil {
 		return response{err: err}
 	}
-	c.eras.observe(era)
-	return response{status: resp.StatusCode(), era: era, body: append([]byte(nil), resp.Body()...)}
+	outdated := !c.eras.observe(era)
+	return response{status: resp.StatusCode(), era: era, outdated: outdated, body: append([]byte(nil), resp.Body()...)}
 }
 
 // decodeRead decodes the answer to a read. Without a usable answer the error has
 // the kind fault.KindUnavailable.
 func decodeRead[T any](r response, kind Kind, name string, decode func([]byte) (T, error)) (T, error) {
+	if r.outdated {
+		var zero T
+		return zero, ErrUnavailable("the answer is from before " + ErrRestored.Error())
+	}
 	return decodeResponse(r, kind, name, decode, ErrUnavailable)
 }
 
 // decodeWrite decodes the answer to a write. Without a usable answer the error
 // has the kind fault.KindUnknown. Only a call that was not sent, or that the platform
-// refused, certainly had no effect.
-func (c *Client) decodeWrite(r response, kind Kind, name string) (Version, error) {
+// refused, certainly had no effect. One that took effect in a later era than that of its
+// condition may have replaced another object than the caller read.
+func (c *Client) decodeWrite(r response, kind Kind, name string, match Version) (Version, error) {
 	if errors.Is(r.err, errNotConnected) || errors.Is(r.err, fasthttp.ErrNoFreeConns) {
 		return 0, ErrUnavailable(r.err.Error())
 	}
-	return decodeResponse(r, kind, name, c.dialect.Written, ErrUnknown)
+	return decodeResponse(r, kind, name, func(b []byte) (Version, error) {
+		if r.outdated || match != 0 && r.era != match.Era() {
+			return 0, ErrRestored
+		}
+		version, err := c.dialect.Written(b)
+		return version.in(r.era), errors.Join(err, checkRevision(version))
+	}, ErrUnknown)
 }
 
 // decodeResponse decodes an answer. If there is none or it is not usable, it returns
--- a/store/dialect.go
+++ b/store/dialect.go
@@ -30,6 +30,7 @@
 	Get(kind Kind, name string) Request
 	List(kind Kind, page Page) Request
 	// Put writes an object if its version is match; 0 means that it must not exist.
+	// Of the versions, only the revisions are sent.
 	Put(kind Kind, name string, value []byte, match Version) Request
 	Delete(kind Kind, name string, match Version) Request
 	// Watch asks for changes after a version and allows the platform to hold the
@@ -39,7 +40,8 @@
 	// EraHeader returns the name of the header in which each answer names the store's Era.
 	EraHeader() string
 
-	// The methods below decode the body of a successful answer.
+	// The methods below decode the body of a successful answer. The versions that they return
+	// are revisions: the client adds the era.
 
 	Object(kind Kind, body []byte) (Object, error)
 	Listing(kind Kind, body []byte) (Listing, error)
@@ -79,7 +81,7 @@
 }
 
 func (objapiDialect) Watch(kind Kind, after Version, _ time.Duration) Request {
-	query := url.Values{"after": {strconv.FormatUint(uint64(after), 10)}}
+	query := url.Values{"after": {strconv.FormatUint(after.Revision(), 10)}}
 	return Request{Method: fasthttp.MethodGet, Path: "/watch/" + string(kind), Query: query}
 }
 
@@ -162,5 +164,5 @@
 func objectPath(kind Kind) string { return "/objects/" + string(kind) }
 
 func writeQuery(name string, match Version) url.Values {
-	return url.Values{"name": {name}, "match": {strconv.FormatUint(uint64(match), 10)}}
+	return url.Values{"name": {name}, "match": {strconv.FormatUint(match.Revision(), 10)}}
 }
--- a/store/link.go
+++ b/store/link.go
@@ -53,6 +53,17 @@
 	return waitForChanges(ctx, l.mem, []*Faults{l.Faults, l.mem.Faults}, kind, after)
 }
 
+// Poll returns the changes of a kind after a version without waiting for any.
+func (l *Link) Poll(ctx context.Context, kind Kind, after Version) ([]Event, Version, error) {
+	c, err := readWithFaults(ctx, l.Faults, func() (Changes, error) {
+		return readWithFaults(ctx, l.mem.Faults, func() (Changes, error) {
+			c, _, err := l.mem.changesAfter(kind, after)
+			return c, err
+		})
+	})
+	return c.Events, c.Version, err
+}
+
 // Hosts implements Store.
 func (l *Link) Hosts(ctx context.Context) ([]Host, error) {
 	return readWithFaults(ctx, l.Faults, func() ([]Host, error) { return l.mem.Hosts(ctx) })
--- a/store/mem.go
+++ b/store/mem.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"sort"
 	"strings"
@@ -70,6 +71,14 @@
 	pendingHosts []hostChange
 }
 
+// Copy is the state of the objects of a Mem at one time.
+type Copy struct {
+	version     Version
+	droppedUpTo Version
+	objects     map[objectKey]Object
+	events      []Event
+}
+
 // MemOption sets an option of NewMem.
 type MemOption func(*Mem)
 
@@ -239,6 +248,41 @@
 	m.wake() // makes waiting watches return the error
 }
 
+// Copy returns a copy of the objects for Restore.
+func (m *Mem) Copy() Copy {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return Copy{version: m.version, droppedUpTo: m.droppedUpTo, objects: maps.Clone(m.objects), events: slices.Clone(m.events)}
+}
+
+// Restore replaces all objects by those of a copy and begins a new Era, as after the loss of the
+// store's data. Later revisions are given out again, and watches from versions of the era before
+// fail with KindCompacted.
+func (m *Mem) Restore(c Copy) {
+	m.mu.Lock()
+	era := m.version.Era() + 1
+	m.version, m.droppedUpTo = NewVersion(era, c.version.Revision()), NewVersion(era, c.droppedUpTo.Revision())
+	m.objects = make(map[objectKey]Object, len(c.objects))
+	for key, o := range c.objects {
+		o.Version = NewVersion(era, o.Version.Revision())
+		m.objects[key] = o
+	}
+	m.events = slices.Clone(c.events)
+	for i := range m.events {
+		v := &m.events[i].Object.Version
+		*v = NewVersion(era, v.Revision())
+	}
+	m.mu.Unlock()
+	m.wake()
+}
+
+// Era returns the number of calls of Restore.
+func (m *Mem) Era() Era {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.version.Era()
+}
+
 // appendEvent appends an event, drops old ones beyond the history and wakes the
 // watches. The caller holds the lock.
 func (m *Mem) appendEvent(e Event) {
@@ -269,7 +313,10 @@
 func (m *Mem) changesAfter(kind Kind, after Version) (Changes, <-chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if after < m.droppedUpTo {
+	switch {
+	case after.Era() < m.version.Era():
+		return Changes{}, nil, errRestored()
+	case after < m.droppedUpTo || after > m.version:
 		return Changes{}, nil, ErrCompacted()
 	}
 	c := Changes{Version: m.version}
--- a/store/split.go
+++ b/store/split.go
@@ -197,7 +197,7 @@
 // readItem decodes one object for ReadItems.
 func readItem(kind Kind, item []byte, decode func(item []byte) (Object, error)) Object {
 	o, err := decode(item)
-	if err = errors.Join(err, checkName(o.Name)); err != nil {
+	if err = errors.Join(err, checkName(o.Name), checkRevision(o.Version)); err != nil {
 		return Unreadable(kind, o.Name, err)
 	}
 	return o
--- a/store/store.go
+++ b/store/store.go
@@ -5,7 +5,8 @@
 // Objects have a kind, a name, a value of at most 1 MiB and a version. All objects
 // share one sequence of versions, so that a watch can resume after the last
 // version that it returned. Put and Delete are conditional on the version that
-// the caller read.
+// the caller read. If the store comes back from an older copy of itself, a new Era
+// begins; see Version.
 //
 // # Usage
 //
@@ -25,6 +26,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"rhubarbdrift.example/fault"
 	"rhubarbdrift.example/model"
@@ -47,8 +49,12 @@
 	KindClaim Kind = "claim"
 )
 
-// Version is the sequence number of a write to the platform. 0 means that an
-// object does not exist.
+// Version orders the states of the platform's store: first by its Era, then by the revision, the
+// sequence number of a write in that era. It orders what the store said, and never what is newer
+// in the sense of the content. As the version of an object, 0 means that it does not exist.
+//
+// A version of an earlier era is no condition of a write, and no watch continues from it, even if
+// the store has given out its revision again.
 type Version uint64
 
 // Object is one stored value.
@@ -142,6 +148,14 @@
 	return fault.New(fault.KindUnknown, "the platform's answer to a write was lost: "+cause, "read the object to learn whether the write took effect")
 }
 
+// ErrRestored is wrapped by an error of KindCompacted if the reason is a new Era.
+var ErrRestored = errors.New("the store came back from an older copy")
+
+// errRestored returns the error for a watch from a version of an earlier era.
+func errRestored() error {
+	return fault.Wrap(KindCompacted, ErrRestored, "the platform no longer has that version", "list the kind again and watch from the list's version")
+}
+
 // ErrCompacted returns the error for a watch from a version whose following
 // changes the platform no longer has.
 func ErrCompacted() error {
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -112,6 +112,8 @@
 	onEvents     func([]store.Event)        // applies changes
 	beforeApply  func()                     // called before an answer is applied, or a relay if the list is older than lapseAge
 	afterApply   func()                     // called after an answer or a relay was applied
+	onRestore    func()                     // called before the first answer or relay of a later era is applied
+	retain       func()                     // called after the records were changed, with f.mu
 	storeAge     func() (age time.Duration) // time since any list knew the store's state
 	mayCall      func() bool                // whether to call the store now
 	storeAnswers func() bool                // whether the store answers this daemon on another list
@@ -121,6 +123,7 @@
 	relayedBy    model.HostID // neighbour that relayed the list; empty: read from the store
 	records      map[string]record
 	floor        store.Version // version from which on records holds all removals
+	relist       bool          // the next call reads the complete list
 	removedCount int           // number of records of removed entries
 	odd          oddEntries    // entries that cannot be read
 	arrived      *arrival      // changes that are being prepared, for relays to neighbours; nil: none
@@ -143,7 +146,7 @@
 // newFollower returns a follower whose callbacks the caller may replace before run.
 func newFollower(source Watcher, kind store.Kind, delay time.Duration, o options) *follower {
 	f := &follower{options: o, source: source, kind: kind, maxValue: store.MaxValue, odd: oddEntries{options: o}, delay: delay, restart: make(chan struct{}, 1),
-		prepare: func(*store.Object) {}, beforeApply: func() {}, afterApply: func() {}, records: make(map[string]record)}
+		prepare: func(*store.Object) {}, beforeApply: func() {}, afterApply: func() {}, onRestore: func() {}, retain: func() {}, records: make(map[string]record)}
 	f.storeAge = f.age
 	f.mayCall, f.storeAnswers = f.always, f.always
 	return f
@@ -178,12 +181,16 @@
 		}
 		if lapsed && !f.storeAnswers() {
 			lapsed = false
-			f.awaitReturnRelay(ctx)
+			f.awaitReturnRelay(ctx, f.hasRelay)
 			continue
 		}
 		lapsed = false
 		changed, err := f.step(ctx)
 		switch {
+		case errors.Is(err, store.ErrRestored):
+			if !f.first.Load() {
+				f.awaitReturnRelay(ctx, func() bool { return !f.mustList() })
+			}
 		case err != nil && ctx.Err() == nil:
 			f.recordFailure(err)
 			sleep(ctx, f.retryPause())
@@ -203,12 +210,12 @@
 	}
 }
 
-// awaitReturnRelay waits, after the store was away for long, until a neighbour relays
-// the list, or for returnWait and up to returnSpread more. The neighbour that relayed the
-// news that the store answers is about to receive the list itself.
-func (f *follower) awaitReturnRelay(ctx context.Context) {
+// awaitReturnRelay waits, after the store was away for long or came back from an older copy,
+// until a neighbour relays the list, or for returnWait and up to returnSpread more. The
+// neighbour that relayed the news that the store answers is about to receive the list itself.
+func (f *follower) awaitReturnRelay(ctx context.Context, relayed func() bool) {
 	end := f.sinceBoot() + returnWait + rand.N(returnSpread)
-	for ctx.Err() == nil && f.sinceBoot() < end && !f.hasRelay() {
+	for ctx.Err() == nil && f.sinceBoot() < end && !relayed() {
 		sleep(ctx, startPoll)
 	}
 }
@@ -236,7 +243,7 @@
 // step makes one call to the store and applies its answer.
 func (f *follower) step(ctx context.Context) (changed bool, err error) {
 	sent, from := f.sinceBoot(), f.Version()
-	if from == 0 {
+	if from == 0 || f.mustList() {
 		objects, version, err := f.source.List(ctx, f.kind)
 		if err != nil {
 			return false, err
@@ -266,19 +273,29 @@
 
 // loseHistory makes the next call read the complete list. From the second watch in a row that
 // could not be continued it returns the error, since lists are large and the store may fail all
-// watches.
+// watches. It also returns the error of a new era.
 func (f *follower) loseHistory(from store.Version, err error) error {
-	f.log.Info().Str("kind", string(f.kind)).Uint64("after", uint64(from)).Msg("history is gone; the list is read again")
+	restored := errors.Is(err, store.ErrRestored)
+	f.log.Info().Str("kind", string(f.kind)).Uint32("era", uint32(from.Era())).Uint64("after", from.Revision()).Bool("restored", restored).
+		Msg("history is gone; the list is read again")
 	f.mu.Lock()
-	f.version = 0
+	f.relist = true
 	f.mu.Unlock()
 	f.losses++
-	if f.losses > 1 {
+	if f.losses > 1 || restored {
 		return err
 	}
 	return nil
 }
 
+// mustList reports whether the next call reads the complete list, since no watch continues from
+// the present copy.
+func (f *follower) mustList() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.relist
+}
+
 // errRestarted is the cause with which a watch is cancelled to be restarted.
 var errRestarted = errors.New("the watch is restarted")
 
@@ -324,6 +341,7 @@
 	f.beforeApply()
 	f.mu.Lock()
 	if version >= f.version {
+		f.enterEra(version.Era())
 		apply()
 		f.setComplete(sent)
 		f.relayedBy = ""
@@ -333,6 +351,18 @@
 	f.afterApply()
 }
 
+// enterEra prepares for an answer or a relay of a later era than that of the present copy. The
+// store then holds less than this host: what was written since the store's copy was taken is
+// missing until it has been written again. The caller holds f.mu.
+func (f *follower) enterEra(era store.Era) {
+	if f.version == 0 || era <= f.version.Era() {
+		return
+	}
+	f.log.Info().Str("kind", string(f.kind)).Uint32("era", uint32(era)).Uint32("before", uint32(f.version.Era())).Uint64("revision", f.version.Revision()).
+		Msg("list of an older copy of the store")
+	f.onRestore()
+}
+
 // replaceList replaces all records by a complete list. The caller holds f.mu.
 func (f *follower) replaceList(objects []store.Object, version store.Version) {
 	f.records = make(map[string]record, len(objects))
@@ -343,8 +373,9 @@
 			sound = append(sound, o)
 		}
 	}
-	f.version, f.floor, f.removedCount, f.arrived = version, version, 0, nil
+	f.version, f.floor, f.removedCount, f.arrived, f.relist = version, version, 0, nil, false
 	f.onList(sound)
+	f.retain()
 }
 
 // applyEvents applies changes up to a version. The caller holds f.mu.
@@ -375,6 +406,7 @@
 		f.dropRemoved()
 	}
 	f.onEvents(changes)
+	f.retain()
 }
 
 // readable reports whether an entry can be read, and records it if not.
--- a/watch/odd.go
+++ b/watch/odd.go
@@ -27,7 +27,7 @@
 	}
 	e.problems[o.Name] = problem
 	e.oddCount.Inc(1)
-	e.log.Warn().Str("kind", string(kind)).Str("entry", o.Name[:min(len(o.Name), loggedName)]).Uint64("revision", uint64(o.Version)).
+	e.log.Warn().Str("kind", string(kind)).Str("entry", o.Name[:min(len(o.Name), loggedName)]).Uint64("revision", o.Version.Revision()).
 		Str("problem", problem).Msg("odd entry left out")
 }
 
--- a/watch/relay.go
+++ b/watch/relay.go
@@ -102,6 +102,7 @@
 	if f.version != known || u.Version < f.version {
 		return false
 	}
+	f.enterEra(u.Version.Era())
 	if u.Complete {
 		objects := make([]store.Object, len(u.Events))
 		for i := range u.Events {
@@ -121,7 +122,7 @@
 	if offered && f.relayedBy != "" && f.relayedBy != relayedBy && f.hasRelay() {
 		return true
 	}
-	f.relayedBy = relayedBy
+	f.relayedBy, f.relist = relayedBy, false
 	f.lastRelay.Store(int64(f.sinceBoot()))
 	return true
 }
