watch: targets that left before the store came back from an older copy

What callers saw: requests to targets that had left, and 503 because targets that run were dropped, until all had written their entries again.

Cause: an older copy of the store lists targets as running whose leaving it had acknowledged, and lacks those that registered later. A host took it for news. The time in which targets may register again was granted only after 3 s without an answer of the store.

Change: a host remembers for a minute or more which incarnations left. One whose entry said it is not used again; one whose entry was removed is not used until a list that is complete 5 s later still has it, since the entry of a target that ended lapses within 4.5 s. Targets that the copy lacks are kept for 2 s, as after an outage. An entry that is only read again keeps its revision, so that its time to be cold does not begin again.

--- a/watch/targets.go
+++ b/watch/targets.go
@@ -57,6 +57,9 @@
 	stateMu     sync.Mutex
 	entries     map[string]*entry
 	renewUntil  time.Duration // boot time until which removed entries are kept, since targets may renew them
+	listEra     store.Era     // era of the list
+	restored    bool          // the next change of the list is the first of a later era
+	departed    departures
 	newestSeen  store.Version // newest version of the store that any list has seen
 	behindSince time.Time     // time since which the watch is behind newestSeen; zero: it is not
 }
@@ -65,6 +68,9 @@
 type entry struct {
 	target  model.Instance
 	expires time.Duration // boot time at which a removed entry is dropped unless it is renewed; 0: not removed
+	// heldTo is the boot time to which a list must be complete before a target is used again whose
+	// entry was removed in an earlier era. It counts as leaving until then. 0: it is not held.
+	heldTo time.Duration
 }
 
 // NewTargets returns a Targets that follows the entries of a kind. It calls notify
@@ -72,9 +78,15 @@
 // from the store, and storeAnswers for whether the store answers this daemon. A
 // watch alone does not show that: without changes it may wait on a dead connection.
 func NewTargets(source Watcher, kind store.Kind, d TargetDecoder, notify func(TargetSet), storeAge func() time.Duration, storeAnswers func() bool, opts ...Option) *Targets {
-	t := &Targets{follower: newFollower(source, kind, targetDelay, newOptions(opts)), decoder: d, notify: notify, entries: make(map[string]*entry)}
+	t := &Targets{follower: newFollower(source, kind, targetDelay, newOptions(opts)), decoder: d, notify: notify, entries: make(map[string]*entry), departed: make(departures)}
 	t.maxValue = maxTargetValue
 	t.onList, t.onEvents, t.storeAge, t.mayCall, t.storeAnswers = t.replace, t.update, storeAge, t.storeReachable, storeAnswers
+	t.onRestore = func() {
+		t.StoreReturned()
+		t.stateMu.Lock()
+		defer t.stateMu.Unlock()
+		t.restored = true
+	}
 	t.current.Store(&TargetSet{})
 	return t
 }
@@ -108,18 +120,19 @@
 		t.behindSince = time.Now()
 		return
 	}
-	if time.Since(t.behindSince) < maxBehind {
+	if time.Since(t.behindSince) < maxBehind && t.newestSeen.Era() == known.Era() {
 		return
 	}
 	t.behindSince = time.Time{}
 	t.restartWatch()
 }
 
-// replace applies a complete list.
+// replace applies a complete list. The follower is locked.
 func (t *Targets) replace(objects []store.Object) {
 	t.stateMu.Lock()
 	defer t.stateMu.Unlock()
 	t.checkSilence()
+	t.listEra = t.version.Era()
 	present := make(map[string]bool, len(objects))
 	for i := range objects {
 		present[objects[i].Name] = t.put(&objects[i])
@@ -129,14 +142,16 @@
 			t.remove(name)
 		}
 	}
+	t.restored = false
 	t.publish()
 }
 
-// update applies the events of a watch.
+// update applies the events of a watch. The follower is locked.
 func (t *Targets) update(events []store.Event) {
 	t.stateMu.Lock()
 	defer t.stateMu.Unlock()
 	t.checkSilence()
+	t.listEra = t.version.Era()
 	for i := range events {
 		o := &events[i].Object
 		if events[i].Deleted || !t.put(o) {
@@ -146,6 +161,7 @@
 			t.odd.remove(o.Name)
 		}
 	}
+	t.restored = false
 	t.publish()
 }
 
@@ -176,16 +192,27 @@
 		return false
 	}
 	t.odd.remove(o.Name)
-	old := t.entries[o.Name]
-	if old == nil || old.target.Leaving != target.Leaving || old.target.Address != target.Address || old.target.StartedAt != target.StartedAt {
+	e, old := &entry{target: target}, t.entries[o.Name]
+	t.departed.check(e, t.listEra, t.sinceBoot())
+	if old == nil || old.target.Leaving != e.target.Leaving || old.target.Address != target.Address || old.target.StartedAt != target.StartedAt {
 		t.log.Info().Str("target", string(target.ID)).Str("pool", string(target.Pool)).Str("address", target.Address).
-			Bool("leaving", target.Leaving).Uint64("revision", uint64(o.Version)).Msg("target listed")
+			Bool("leaving", e.target.Leaving).Bool("departed", e.target.Leaving && !target.Leaving).Uint64("revision", o.Version.Revision()).Msg("target listed")
 	}
-	target.Revision = uint64(o.Version)
-	t.entries[o.Name] = &entry{target: target}
+	e.target.Revision = uint64(o.Version)
+	if old != nil && t.restored && e.sameContent(old) {
+		e.target.Revision = old.target.Revision // read again, not written again
+	}
+	t.entries[o.Name] = e
 	return true
 }
 
+// sameContent reports whether the entries differ at most in their revision.
+func (e *entry) sameContent(other *entry) bool {
+	target := e.target
+	target.Revision = other.target.Revision
+	return target == other.target
+}
+
 // remove drops an entry, or keeps it until renewUntil if it may only have lapsed.
 func (t *Targets) remove(name string) {
 	e := t.entries[name]
@@ -199,7 +226,13 @@
 		}
 		return
 	}
+	t.drop(name, e)
+}
+
+// drop forgets an entry that is not renewed.
+func (t *Targets) drop(name string, e *entry) {
 	delete(t.entries, name)
+	t.departed.add(e, t.listEra, t.sinceBoot())
 	t.log.Info().Str("target", name).Msg("target gone")
 }
 
@@ -208,15 +241,20 @@
 	for ctx.Err() == nil {
 		sleep(ctx, sweepInterval)
 		t.stateMu.Lock()
-		dropped := false
+		changed := false
 		for name, e := range t.entries {
-			if e.expires != 0 && t.sinceBoot() >= e.expires {
-				delete(t.entries, name)
-				dropped = true
-				t.log.Info().Str("target", name).Msg("target gone")
+			switch now := t.sinceBoot(); {
+			case e.expires != 0 && now >= e.expires:
+				t.drop(name, e)
+				changed = true
+			case e.heldTo != 0 && time.Duration(t.completeAt.Load()) >= e.heldTo:
+				e.target.Leaving, e.heldTo = false, 0
+				delete(t.departed, e.target.ID)
+				changed = true
+				t.log.Info().Str("target", name).Msg("target is used again, since its entry stayed")
 			}
 		}
-		if dropped {
+		if changed {
 			t.publish()
 		}
 		t.stateMu.Unlock()
