watch: evacuations that an older copy of the store lacks stay in force

What callers could see: requests to an evacuated failure domain, from the return of the store until the operator has written the evacuation again.

Cause: an entry that was missing in the first list of a new era counted as removed by the operator.

Change: such an entry is kept for 10 s, unless the operator writes it again or removes it. He cannot have ended the evacuation while the store was away.

--- a/watch/evacuations.go
+++ b/watch/evacuations.go
@@ -18,6 +18,9 @@
 	// changes. A silent watch, and the loss of the only reader right before its restart,
 	// which takes the others 2 s to notice, together stay below 5 s.
 	maxEvacuationBehind = 2 * time.Second
+	// keepEvacuated is how long an evacuation stays in force that is missing in an older copy of
+	// the store. The operator cannot have ended it: until then, the store was away.
+	keepEvacuated = 10 * time.Second
 )
 
 // EvacuationDecoder decodes the platform's format of an evacuation.
@@ -33,23 +36,57 @@
 	decoder EvacuationDecoder
 	notify  func(map[model.Domain]bool)
 
-	stateMu sync.Mutex
-	entries map[string]model.Domain // by name of the entry
-	stale   staleness
+	stateMu  sync.Mutex
+	entries  map[string]model.Domain // by name of the entry
+	stale    staleness
+	restored bool                     // the next change of the list is the first of a later era
+	missing  map[string]time.Duration // boot time until which an entry is kept that an older copy of the store lacks
 }
 
 // NewEvacuations returns an Evacuations that follows the entries of a kind. It calls notify
 // with each list that was read, also if it is empty or equal to the one before. See
 // NewTargets for storeAge and storeAnswers.
 func NewEvacuations(source Watcher, kind store.Kind, d EvacuationDecoder, notify func(map[model.Domain]bool), storeAge func() time.Duration, storeAnswers func() bool, opts ...Option) *Evacuations {
-	e := &Evacuations{follower: newFollower(source, kind, evacuationDelay, newOptions(opts)), decoder: d, notify: notify, entries: make(map[string]model.Domain)}
+	e := &Evacuations{follower: newFollower(source, kind, evacuationDelay, newOptions(opts)), decoder: d, notify: notify, entries: make(map[string]model.Domain), missing: make(map[string]time.Duration)}
 	e.maxValue = maxTargetValue
+	e.onRestore = func() { e.stateMu.Lock(); defer e.stateMu.Unlock(); e.restored = true }
 	e.onList, e.onEvents, e.storeAge, e.mayCall, e.storeAnswers = e.replace, e.update, storeAge, e.storeReachable, storeAnswers
 	return e
 }
 
 // Run follows the evacuations until ctx ends. The error is always nil.
-func (e *Evacuations) Run(ctx context.Context) error { return e.run(ctx) }
+func (e *Evacuations) Run(ctx context.Context) error {
+	go e.sweep(ctx)
+	return e.run(ctx)
+}
+
+// sweep drops, until ctx ends, the entries that were kept and not written again.
+func (e *Evacuations) sweep(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, sweepInterval)
+		e.stateMu.Lock()
+		dropped := false
+		for name, until := range e.missing {
+			if e.sinceBoot() >= until {
+				delete(e.entries, name)
+				delete(e.missing, name)
+				dropped = true
+			}
+		}
+		if dropped {
+			e.publish()
+		}
+		e.stateMu.Unlock()
+	}
+}
+
+// keepMissing keeps an entry for keepEvacuated. The caller holds e.stateMu.
+func (e *Evacuations) keepMissing(name string) {
+	if _, kept := e.missing[name]; !kept {
+		e.missing[name] = e.sinceBoot() + keepEvacuated
+		e.log.Warn().Str("entry", name).Dur("kept", keepEvacuated).Msg("evacuation is missing in an older copy of the store; it is kept until it could be written again")
+	}
+}
 
 // storeReachable reports whether the store is to be called, as for Targets.
 func (e *Evacuations) storeReachable() bool { return e.Version() == 0 || e.storeAge() < maxCallAge }
@@ -72,10 +109,20 @@
 func (e *Evacuations) replace(objects []store.Object) {
 	e.stateMu.Lock()
 	defer e.stateMu.Unlock()
-	clear(e.entries)
+	present := make(map[string]bool, len(objects))
 	for i := range objects {
-		e.put(&objects[i])
+		present[objects[i].Name] = e.put(&objects[i])
+	}
+	for name := range e.entries {
+		switch _, kept := e.missing[name]; {
+		case present[name] || kept:
+		case e.restored:
+			e.keepMissing(name)
+		default:
+			delete(e.entries, name)
+		}
 	}
+	e.restored = false
 	e.publish()
 }
 
@@ -85,26 +132,34 @@
 	defer e.stateMu.Unlock()
 	for i := range events {
 		o := &events[i].Object
-		delete(e.entries, o.Name)
+		_, known := e.entries[o.Name]
 		switch {
-		case !events[i].Deleted:
-			e.put(o)
-		case o.Problem == "":
+		case !events[i].Deleted && e.put(o):
+		case events[i].Deleted && known && e.restored:
+			e.keepMissing(o.Name)
+		default:
+			delete(e.entries, o.Name)
+			delete(e.missing, o.Name)
+		}
+		if events[i].Deleted && o.Problem == "" {
 			e.odd.remove(o.Name)
 		}
 	}
+	e.restored = false
 	e.publish()
 }
 
-// put stores an entry. One that cannot be decoded is logged once and has no effect.
-func (e *Evacuations) put(o *store.Object) {
+// put stores an entry and reports whether it could be decoded. One that cannot is logged once.
+func (e *Evacuations) put(o *store.Object) bool {
 	domain, err := e.decoder.Evacuation(o.Name, o.Value)
 	if err != nil {
 		e.odd.add(e.kind, o, err.Error())
-		return
+		return false
 	}
 	e.odd.remove(o.Name)
+	delete(e.missing, o.Name)
 	e.entries[o.Name] = domain
+	return true
 }
 
 // publish passes the evacuated domains to notify. The caller holds e.stateMu.
--- a/watch/evacuations_test.go
+++ b/watch/evacuations_test.go
@@ -163,3 +163,28 @@
 		test.Eq(t, 0, len(e.restart))
 	})
 }
+
+// TestEvacuationMissing guards against an evacuated domain that is used because an older copy of
+// the store lacks the evacuation, and against one that is never used again.
+func TestEvacuationMissing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScriptedStore()
+		e := newEvacuee(t, s)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer func() { cancel(); synctest.Wait() }()
+		go e.sweep(ctx)
+		version, objects := inEra(1, 9, evacuationOf("north"), evacuationOf("south"))
+		list(e.follower, version, objects)
+		version, _ = inEra(2, 9)
+		list(e.follower, version, nil)
+		test.Eq(t, "north south", e.current.Load())
+		// One is written again and then removed, which is the operator's word.
+		for i, event := range []store.Event{{Object: evacuationOf("south")}, deleteEvent("south")} {
+			v := version + store.Version(i) + 1
+			e.applyAnswer(v, e.sinceBoot(), func() { e.applyEvents([]store.Event{event}, v) })
+		}
+		test.Eq(t, "north", e.current.Load())
+		time.Sleep(keepEvacuated + 2*sweepInterval)
+		test.Eq(t, "", e.current.Load())
+	})
+}
