watch: the entry of a stopped daemon is removed after a new era too

Cause: a planned stop removes the daemon's entry under the condition of the version that was read at the start. After the store came back from an older copy that version is of an earlier era, and the entry stayed: all others keep a part of the limits for a daemon that has stopped.

Change: after a conflict the entry is read again and removed.

Evidence: TestHostAfterRestore, with its entry in the copy, failed before.

--- a/watch/hosts.go
+++ b/watch/hosts.go
@@ -5,9 +5,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"rhubarbdrift.example/fault"
 	"rhubarbdrift.example/mesh"
 	"rhubarbdrift.example/store"
 )
@@ -38,7 +40,8 @@
 	options
 	source     HostStore
 	self       mesh.Host
-	odd        oddEntries // entries that cannot be read; used by Run alone
+	readMu     sync.Mutex // guards odd
+	odd        oddEntries // entries that cannot be read
 	current    atomic.Pointer[[]mesh.Host]
 	ownVersion atomic.Uint64 // version of this daemon's entry in the store; 0: none
 }
@@ -92,6 +95,11 @@
 		return
 	}
 	err := h.source.Delete(ctx, KindHost, string(h.self.ID), ownVersion)
+	if fault.Is(err, fault.KindConflict) { // the version is of an earlier era
+		if _, err = h.read(ctx, true); err == nil {
+			err = h.source.Delete(ctx, KindHost, string(h.self.ID), store.Version(h.ownVersion.Load()))
+		}
+	}
 	h.log.Info().Err(err).Msg("removal of own entry")
 }
 
@@ -122,6 +130,8 @@
 	if err != nil {
 		return false, err
 	}
+	h.readMu.Lock()
+	defer h.readMu.Unlock()
 	list := []mesh.Host{h.self}
 	var own store.Version
 	for i := range objects {
--- a/watch/hosts_test.go
+++ b/watch/hosts_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/shoenig/test"
 
+	"rhubarbdrift.example/fault"
 	"rhubarbdrift.example/mesh"
 	"rhubarbdrift.example/store"
 )
@@ -95,3 +96,33 @@
 	}
 	test.Eq(t, []string{"self 10.0.0.2:7360", "sound 10.0.0.1:7360"}, ids)
 }
+
+// TestHostAfterRestore guards against a daemon that is not on the list after the store came back
+// from a copy without it, or whose entry stays there after its planned stop.
+func TestHostAfterRestore(t *testing.T) {
+	for name, registered := range map[string]bool{"without its entry": false, "with its entry": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := memHostStore{store.NewMem()}
+				h := NewHosts(s, mesh.Host{ID: "a", Region: "r", Address: "10.0.0.1:1"})
+				ctx, cancel := context.WithCancel(t.Context())
+				defer func() { cancel(); synctest.Wait() }()
+				copied := s.Copy()
+				go func() { _ = h.Run(ctx) }()
+				time.Sleep(time.Second)
+				if registered {
+					copied = s.Copy()
+				}
+				s.Restore(copied)
+				if !registered {
+					time.Sleep(2 * hostsInterval)
+				}
+				_, err := s.Get(ctx, KindHost, "a")
+				test.NoError(t, err)
+				h.Deregister(ctx)
+				_, err = s.Get(ctx, KindHost, "a")
+				test.True(t, fault.Is(err, fault.KindMissing))
+			})
+		})
+	}
+}
