conf, feed, plan: an accepted configuration is written back to a restored store

What operators could see with daemon: a confirmed change that is in force everywhere, but not in the platform's store, and a later change with the same version that no daemon puts in force.

Cause: nothing compared the configuration in force with the root on the platform, whose store may have come back from an older copy.

Change: a member that watches the root and lists it again, because the watch lost its history, writes the configuration in force back under the condition of the root that it read, if that is older. So does a planner before it reads the configuration that a plan is based on. The audit record of the lost change is not held by daemons and stays lost.

--- a/conf/commit.go
+++ b/conf/commit.go
@@ -105,6 +105,15 @@
 // writeObjects writes the chunks of next that old does not list, and the audit
 // record. The error has kind fault.KindMissing if such a chunk is not in chunks.
 func writeObjects(ctx context.Context, s store.Store, old, next *Root, chunks map[model.Digest][]byte, audit []byte) error {
+	if err := writeChunks(ctx, s, old, next, chunks); err != nil {
+		return err
+	}
+	return writeOnce(ctx, s, store.KindAudit, next.Audit, audit)
+}
+
+// writeChunks writes the chunks of next that old does not list. The error has kind
+// fault.KindMissing if such a chunk is not in chunks.
+func writeChunks(ctx context.Context, s store.Store, old, next *Root, chunks map[model.Digest][]byte) error {
 	stored := make(map[model.Digest]bool, len(old.Chunks))
 	for _, d := range old.Chunks {
 		stored[d] = true
@@ -122,7 +131,7 @@
 		}
 		stored[d] = true
 	}
-	return writeOnce(ctx, s, store.KindAudit, next.Audit, audit)
+	return nil
 }
 
 // writeOnce creates an object whose name is the digest of its value. A conflict
--- a/daemon/build.go
+++ b/daemon/build.go
@@ -192,7 +192,7 @@
 	if err != nil {
 		return err
 	}
-	a := admin.New(plan.New(platform), d,
+	a := admin.New(plan.New(platform, plan.WithInForce(d.snapshot)), d,
 		admin.WithOperators(d.settings.Operators),
 		admin.WithMetrics(d.meter.FastHTTPHandler()),
 		admin.WithLog(d.log))
--- a/feed/watch.go
+++ b/feed/watch.go
@@ -52,6 +52,9 @@
 		for _, o := range objects {
 			s.offerObject(o)
 		}
+		if err == nil {
+			s.writeBack(ctx)
+		}
 		return version, err
 	}
 	events, version, err := s.store.Watch(ctx, store.KindConf, after)
@@ -63,6 +66,23 @@
 	return max(after, version), err
 }
 
+// writeBack writes the configuration in force to the platform if its store came back from an older
+// copy, which this member learns from the loss of the watch's history.
+func (s *Service) writeBack(ctx context.Context) {
+	c := s.holder.Current()
+	if c == nil {
+		return
+	}
+	written, err := conf.WriteBack(ctx, s.store, c)
+	if err != nil {
+		s.logger.Warn().Err(err).Uint64("version", uint64(c.Version())).Msg("the configuration in force could not be compared with that of the platform")
+		return
+	}
+	if written {
+		s.logger.Warn().Uint64("version", uint64(c.Version())).Msg("the platform held an older configuration; the one in force was written back")
+	}
+}
+
 // offerObject passes the root to OfferRoot if o is the root object.
 func (s *Service) offerObject(o store.Object) {
 	if o.Name != conf.RootName {
--- a/plan/confirm_test.go
+++ b/plan/confirm_test.go
@@ -12,6 +12,7 @@
 	"github.com/anishathalye/porcupine"
 	"github.com/shoenig/test/must"
 
+	"rhubarbdrift.example/conf"
 	"rhubarbdrift.example/fault"
 	"rhubarbdrift.example/model"
 	"rhubarbdrift.example/store"
@@ -149,3 +150,29 @@
 	linearizable := porcupine.CheckOperations(porcupine.Model{Init: func() any { return registry{} }, Step: step}, history)
 	must.True(t, linearizable, must.Sprintf("seed %d: the history of confirmations is not linearizable", seed))
 }
+
+// TestPlanAfterRestore guards against a change that gets the version of another one, which is in
+// force, because the platform's store came back from an older copy.
+func TestPlanAfterRestore(t *testing.T) {
+	ctx, m := t.Context(), store.NewMem()
+	var inForce *conf.Snapshot
+	p := New(m, WithInForce(func() *conf.Snapshot { return inForce }))
+	confirm := func(rate float64) model.ConfigVersion {
+		draft, err := p.Plan(ctx, editRate(rate))
+		must.NoError(t, err)
+		c, err := p.Confirm(ctx, "amina", draft)
+		must.NoError(t, err)
+		inForce, _, err = conf.Load(ctx, m)
+		must.NoError(t, err)
+		return c.Version
+	}
+	confirm(1)
+	copied := m.Copy()
+	stale, err := p.Plan(ctx, editRate(5))
+	must.NoError(t, err)
+	must.EqOp(t, 2, confirm(2))
+	m.Restore(copied)
+	_, err = p.Confirm(ctx, "bahati", stale)
+	must.True(t, fault.Is(err, fault.KindConflict), must.Sprint(err))
+	must.EqOp(t, 3, confirm(3))
+}
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -58,6 +58,8 @@
 type Planner struct {
 	store store.Store
 	clock model.Clock
+
+	inForce func() *conf.Snapshot
 }
 
 // Option sets an optional property of a Planner.
@@ -68,9 +70,16 @@
 	return func(p *Planner) { p.clock = c }
 }
 
+// WithInForce sets the function that returns the configuration in force on this daemon, or nil.
+// It is written back before a change if the platform's store came back from an older copy:
+// otherwise the change would have the version of one that is in force.
+func WithInForce(current func() *conf.Snapshot) Option {
+	return func(p *Planner) { p.inForce = current }
+}
+
 // New returns a planner that reads and writes the given store.
 func New(s store.Store, options ...Option) *Planner {
-	p := &Planner{store: s, clock: time.Now}
+	p := &Planner{store: s, clock: time.Now, inForce: func() *conf.Snapshot { return nil }}
 	for _, o := range options {
 		o(p)
 	}
@@ -86,6 +95,11 @@
 
 // load reads the latest configuration, which is empty before the first change.
 func (p *Planner) load(ctx context.Context) (*baseConfig, error) {
+	if c := p.inForce(); c != nil {
+		if _, err := conf.WriteBack(ctx, p.store, c); err != nil {
+			return nil, err
+		}
+	}
 	snapshot, rootVersion, err := conf.Load(ctx, p.store)
 	if fault.Is(err, fault.KindMissing) {
 		return &baseConfig{intent: new(model.Intent)}, nil
