lease: a store that comes back from an older copy

What callers of daemon could see: customers refused for 8 s, or admitted above their limit for up to 2 s, after the return.

Cause: a holder took the conflict of its renewal for the loss of its lease. Others took a lease that the copy shows as released, or as their own, for vacant at once, while its holder had acquired it after the copy was taken.

Change: a holder whose term is later than that of the copy renews its lease on the version that it reads there. Others acquire no lease until a takeover wait has passed since they first read one in a new era.

A daemon that starts in the first seconds after the return does not know of the new era; the package comment says what follows.

--- a/lease/acquire.go
+++ b/lease/acquire.go
@@ -52,7 +52,19 @@
 
 // vacantAt returns the time from which this daemon may acquire the lease if it
 // does not change before. The caller holds the lock.
+//
+// If the store came back from an older copy, what it says of the holder may be outdated. The
+// holder renews within the wait, or its ownership ends.
 func (k *Keeper) vacantAt(s *shard, position int) time.Time {
+	vacantAt := k.vacantInEra(s, position)
+	if restored := k.restoredAt.Add(takeoverWait); !k.restoredAt.IsZero() && vacantAt.Before(restored) {
+		return restored
+	}
+	return vacantAt
+}
+
+// vacantInEra is vacantAt as far as it follows from what was read in the present era.
+func (k *Keeper) vacantInEra(s *shard, position int) time.Time {
 	earliest := s.firstSeen.Add(time.Duration(position) * rankDelay)
 	switch {
 	case k.writtenBySelf(s.record):
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -43,8 +43,17 @@
 // Holds of a new holder returns true only after the previous holder's grants
 // have expired.
 //
+// If the platform's store comes back from an older copy, a lease in it may name an earlier holder
+// or none. A holder whose term is later than that of the copy renews its lease there and goes on.
+// The others acquire no lease before TTL, the allowance for drift and the lifetime of a grant have
+// passed since they first read one in the new era.
+//
 // # Limits
 //
+// A daemon that starts right after the store came back from an older copy does not know that, and
+// may acquire a lease that the copy shows as released, or does not contain, up to RenewalInterval
+// before its holder renews it there.
+//
 // If fewer members than a takeover quorum (7 of 19) of the roster recorded in a
 // lease are running, no takeover can be endorsed. The lease stays vacant until
 // enough members are back or an operator deletes the object, having made sure
@@ -152,6 +161,9 @@
 	live          []model.HostID
 	liveSince     map[model.HostID]time.Time // since when each live member has been live
 	random        *rand.Rand
+	eraKnown      bool      // a lease has been read
+	era           store.Era // the latest in which a lease was read
+	restoredAt    time.Time // when the first lease of a later era was read; zero: never
 	stopping      bool
 	releaseErrors []error // leases that could not be released
 }
--- a/lease/renew.go
+++ b/lease/renew.go
@@ -16,9 +16,22 @@
 		return
 	}
 	version, err := k.write(ctx, s, a.record, s.version)
+	if fault.Is(err, fault.KindConflict) {
+		if restored, ok := k.restoredVersion(ctx, s); ok {
+			version, err = k.write(ctx, s, a.record, restored)
+		}
+	}
 	k.recordRenewal(s, a, version, err)
 }
 
+// restoredVersion reads the lease after a conflict. It returns its version if the platform's store
+// came back from an older copy and the lease in it is from before the term of this holder, or its
+// own. No other daemon acquires it meanwhile: see vacantAt.
+func (k *Keeper) restoredVersion(ctx context.Context, s *shard) (store.Version, bool) {
+	version, r, err := k.get(ctx, s)
+	return version, err == nil && version.Era() > s.version.Era() && (r.Term < s.record.Term || k.writtenBySelf(r) && r.Term == s.record.Term)
+}
+
 // prepareRenewal returns the renewal to send, or nil if the lease has expired.
 // A previous renewal whose outcome is unknown is sent again instead of r.
 func (k *Keeper) prepareRenewal(s *shard, r model.Lease) *renewalAttempt {
--- a/lease/shard.go
+++ b/lease/shard.go
@@ -131,10 +131,24 @@
 	if err != nil {
 		return 0, model.Lease{}, err
 	}
+	k.noteEra(o.Version.Era())
 	r, err := model.DecodeLease(o.Value)
 	return o.Version, r, k.logUnusable(s, err)
 }
 
+// noteEra records when this daemon first read a lease in a new era.
+func (k *Keeper) noteEra(era store.Era) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch {
+	case !k.eraKnown:
+		k.eraKnown, k.era = true, era
+	case era > k.era:
+		k.era, k.restoredAt = era, k.clock()
+		k.log.Warn().Uint32("era", uint32(era)).Dur("wait", takeoverWait).Msg("the platform's store came back from an older copy; leases are acquired after a wait")
+	}
+}
+
 func (k *Keeper) put(ctx context.Context, s *shard, r model.Lease, match store.Version) (store.Version, error) {
 	if err := k.logUnusable(s, r.Check()); err != nil {
 		return 0, err
