--- a/watch/newest.go
+++ b/watch/newest.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"cmp"
 	"time"
 
 	"rhubarbdrift.example/mesh"
@@ -63,7 +64,7 @@
 	}
 	c.newestFor[to] = now
 	if u.Version == 0 {
-		*u = mesh.ListUpdate{Version: max(c.version, known), Age: roundUpAge(age), Outdated: true}
+		*u = mesh.ListUpdate{Version: cmp.Or(known, c.version), Age: roundUpAge(age), Outdated: true}
 	}
 	u.Events = append(u.Events, store.Event{Object: c.inForce})
 }
