--- a/wire/compress_test.go
+++ b/wire/compress_test.go
@@ -3,11 +3,15 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 )
 
+// settleTime is how long a count of bytes must not have changed.
+const settleTime = 50 * time.Millisecond
+
 // TestLargeAnswers guards against large answers that are sent uncompressed or arrive damaged.
 func TestLargeAnswers(t *testing.T) {
 	f := startServer(t)
@@ -15,7 +19,14 @@
 	bytesOf := func(call func()) uint64 {
 		before, _ := f.counters.Bytes()
 		call()
+		// Bytes are counted when their write returns, which may be after their receiver has them.
 		after, _ := f.counters.Bytes()
+		for settled := false; !settled; {
+			time.Sleep(settleTime)
+			last := after
+			after, _ = f.counters.Bytes()
+			settled = after == last
+		}
 		return after - before
 	}
 	large := bytesOf(func() {
