place, proxy: an exchange uses the entry of its target as it was chosen

No caller was seen to be affected.

Cause: Balancer.Update writes the entry of a known target in place, under the balancer's lock. The proxy, and through it exch, read id, address and slots of the same target without the lock while a request runs.

Change: Target.Listed returns a copy under the lock. A send keeps the entry with which its target was chosen, and uses nothing else of it.

--- a/place/balancer.go
+++ b/place/balancer.go
@@ -96,9 +96,9 @@
 // Target is the state of one target, as observed by this daemon and reported by
 // the others.
 type Target struct {
-	model.Instance
-	balancer  *Balancer
-	firstSeen time.Time // when this daemon first saw this incarnation
+	model.Instance // guarded by the balancer's mutex: it changes with the list; see Listed
+	balancer       *Balancer
+	firstSeen      time.Time // when this daemon first saw this incarnation
 
 	exchangeHealth health.Estimate // from the exchanges of all daemons
 	reachability   health.Estimate // from this daemon's own connection failures
@@ -115,6 +115,14 @@
 	cold      coldState
 }
 
+// Listed returns the entry with which the target was listed last. Unlike the fields of the
+// target, it may be read while the list is updated.
+func (t *Target) Listed() model.Instance {
+	t.balancer.mu.Lock()
+	defer t.balancer.mu.Unlock()
+	return t.Instance
+}
+
 // NewBalancer returns a balancer without targets, of a daemon that reaches the whole
 // fleet.
 func NewBalancer(l Location, options ...Option) *Balancer {
--- a/proxy/announce_test.go
+++ b/proxy/announce_test.go
@@ -213,3 +213,30 @@
 	a.sendUntilUsed(t, "one")
 	test.GreaterEq(t, coldTime, time.Since(cold))
 }
+
+// TestListUpdatedWhileSending guards against an exchange that reads the entry of its target while
+// the list of targets is updated. The race detector reports it.
+func TestListUpdatedWhileSending(t *testing.T) {
+	a := newAnnouncers(t, "one", "two")
+	ended := make(chan struct{})
+	var updates sync.WaitGroup
+	updates.Go(func() {
+		for n := 0; ; n++ {
+			select {
+			case <-ended:
+				return
+			default:
+			}
+			changed := make([]*model.Instance, len(a.instances))
+			for i, instance := range a.instances {
+				c := *instance
+				c.Slots = model.Slots(4 + n%2)
+				changed[i] = &c
+			}
+			a.list(changed...)
+		}
+	})
+	a.send(t, 100)
+	close(ended)
+	updates.Wait()
+}
--- a/proxy/run.go
+++ b/proxy/run.go
@@ -16,6 +16,7 @@
 	"rhubarbdrift.example/header"
 	"rhubarbdrift.example/health"
 	"rhubarbdrift.example/hedge"
+	"rhubarbdrift.example/model"
 	"rhubarbdrift.example/place"
 	"rhubarbdrift.example/refuse"
 )
@@ -31,6 +32,7 @@
 // sendAttempt is one exchange of a call.
 type sendAttempt struct {
 	target     *place.Target
+	listed     model.Instance // the target's entry when it was chosen
 	out        exch.Outcome
 	targetResp *fasthttp.Response
 	room       exch.Room // memory for the response
@@ -159,9 +161,10 @@
 
 // send starts an exchange with the target.
 func (d *dispatch) send(t *place.Target) {
-	d.tried = append(d.tried, t.ID)
+	listed := t.Listed()
+	d.tried = append(d.tried, listed.ID)
 	d.proxy.metrics.sends[t.Tier()].Inc(1)
-	s := &sendAttempt{target: t, targetResp: new(fasthttp.Response), number: int32(len(d.tried)), hedged: d.inFlight > 0}
+	s := &sendAttempt{target: t, listed: listed, targetResp: new(fasthttp.Response), number: int32(len(d.tried)), hedged: d.inFlight > 0}
 	d.inFlight++
 	s.room.Memory = d.rooms.open(d.call)
 	d.bodyUsers.Add(1)
@@ -262,13 +265,13 @@
 	defer fasthttp.ReleaseRequest(req)
 	d.buildRequest(req)
 	if since, leaving := s.target.LeavingFor(time.Now()); leaving {
-		d.proxy.log.Warn().Str("request", d.id).Str("target", string(s.target.ID)).Dur("since", since).Msg("request sent to a target that leaves")
+		d.proxy.log.Warn().Str("request", d.id).Str("target", string(s.listed.ID)).Dur("since", since).Msg("request sent to a target that leaves")
 	}
 	s.target.Begin(time.Now())
-	d.proxy.deps.ReportRequests(s.target.ID, 1, 0)
+	d.proxy.deps.ReportRequests(s.listed.ID, 1, 0)
 	end := sync.OnceFunc(func() {
 		s.target.End(time.Now())
-		d.proxy.deps.ReportRequests(s.target.ID, 0, 1)
+		d.proxy.deps.ReportRequests(s.listed.ID, 0, 1)
 	})
 	defer end()
 	slowTimer := time.AfterFunc(d.slowAfter(), func() {
@@ -276,7 +279,7 @@
 			return
 		}
 		s.slow.Store(true)
-		d.recordObservation(s.target, health.Slow, -1, &exch.Outcome{HeaderLatency: d.slowAfter()})
+		d.recordObservation(s, health.Slow, -1, &exch.Outcome{HeaderLatency: d.slowAfter()})
 	})
 	defer slowTimer.Stop()
 	started := time.Now()
@@ -284,23 +287,23 @@
 	if d.repeatable() {
 		do = d.proxy.deps.Exchange.Do
 	}
-	s.out = do(exch.WithRoom(d.ctx, &s.room), &s.target.Target, req, s.targetResp)
+	s.out = do(exch.WithRoom(d.ctx, &s.room), &s.listed.Target, req, s.targetResp)
 	slowTimer.Stop()
 	end()
 	d.recordLatency(s, time.Since(started))
-	d.recordAnnouncement(s.target, started, &s.out)
+	d.recordAnnouncement(s, started, &s.out)
 	load, reported := d.proxy.deps.Protocol.ParseLoad(string(s.targetResp.Header.Peek(d.proxy.deps.Protocol.Load)))
 	if !reported {
 		load = -1
 	}
-	slots := float64(s.target.Slots)
+	slots := float64(s.listed.Slots)
 	if s.out.Class == exch.Shed && !reported {
 		load = 2 * slots
 	}
 	observed, ok := observationOf(&s.out, s.slow.Load(), reported && load < slots)
 	switch {
 	case ok:
-		d.recordObservation(s.target, observed, load, &s.out)
+		d.recordObservation(s, observed, load, &s.out)
 	case load >= 0:
 		s.target.SetLoad(time.Now(), load)
 	}
@@ -312,36 +315,36 @@
 
 // recordObservation records an observation and reports it to the other daemons. A
 // negative load is unknown. While the exchange still runs, its outcome has no class.
-func (d *dispatch) recordObservation(t *place.Target, observed health.Observation, load float64, out *exch.Outcome) {
+func (d *dispatch) recordObservation(s *sendAttempt, observed health.Observation, load float64, out *exch.Outcome) {
 	now := time.Now()
-	t.AddObservation(now, observed)
+	s.target.AddObservation(now, observed)
 	if load >= 0 {
-		t.SetLoad(now, load)
+		s.target.SetLoad(now, load)
 	}
-	d.proxy.deps.ReportObservation(t.ID, observed, load)
+	d.proxy.deps.ReportObservation(s.listed.ID, observed, load)
 	if observed != health.Good {
-		d.proxy.log.Info().Str("request", d.id).Str("target", string(t.ID)).Stringer("class", out.Class).
-			Int("status", out.Status).Stringer("sight", observed).Float64("sick", t.UnhealthyProbability(now)).
+		d.proxy.log.Info().Str("request", d.id).Str("target", string(s.listed.ID)).Stringer("class", out.Class).
+			Int("status", out.Status).Stringer("sight", observed).Float64("sick", s.target.UnhealthyProbability(now)).
 			Dur("wait", out.HeaderLatency).AnErr("cause", out.Err).Msg("exchange")
 	}
 }
 
 // recordAnnouncement records what the target said about itself in its response, and
 // logs what is new.
-func (d *dispatch) recordAnnouncement(t *place.Target, sentAt time.Time, out *exch.Outcome) {
+func (d *dispatch) recordAnnouncement(s *sendAttempt, sentAt time.Time, out *exch.Outcome) {
 	if !out.Announced {
 		return
 	}
-	news := t.Announce(time.Now(), place.Announcement{Leaving: out.Draining, Limited: out.Limited, Limit: out.Limit, RetryAfter: out.RetryAfter, SentAt: sentAt})
+	news := s.target.Announce(time.Now(), place.Announcement{Leaving: out.Draining, Limited: out.Limited, Limit: out.Limit, RetryAfter: out.RetryAfter, SentAt: sentAt})
 	if out.Limited || news.Limit {
 		// A limit is reported each time, so that hosts that just started learn of it.
-		d.proxy.deps.ReportLimit(t.ID, out.Limited, out.Limit)
+		d.proxy.deps.ReportLimit(s.listed.ID, out.Limited, out.Limit)
 	}
 	log := func(event string) *zerolog.Event {
-		return d.proxy.log.Info().Str("request", d.id).Str("target", string(t.ID)).Int("status", out.Status).Str("announced", event)
+		return d.proxy.log.Info().Str("request", d.id).Str("target", string(s.listed.ID)).Int("status", out.Status).Str("announced", event)
 	}
 	if news.Leaving {
-		d.proxy.deps.ReportLeaving(t.ID, news.StartedAt)
+		d.proxy.deps.ReportLeaving(s.listed.ID, news.StartedAt)
 		log("leaves").Bool("listed", news.Listed).Msg("target announcement")
 	}
 	if news.Limit {
@@ -492,7 +495,7 @@
 		h.Record(time.Now(), d.latencyKey(), elapsed)
 	}
 	if lost && !s.room.Waited() && s.slow.CompareAndSwap(false, true) {
-		d.recordObservation(s.target, health.Slow, -1, &s.out)
+		d.recordObservation(s, health.Slow, -1, &s.out)
 	}
 }
 
