quota, daemon: the record of a shard's shares in a restored store

What customers of daemon could get: the tokens that a move brought to their region a second time, when an owner read the record again after the platform's store came back from an older copy.

Cause: the record of a later era counts as newer, and adopting it adds the tokens that were moved with it; an older copy has a move that was adopted.

Change: an owner that reads a record of another era starts again as a new holder does, with empty buckets. The daemon logs a new era, as entry does.

Evidence: TestRestoredTransfer fails with the rule taken out. Until both regions have read the restored record, their shares may add up to more than the rate; that is as long as one announces its version to the other, and not tested.

--- a/daemon/build.go
+++ b/daemon/build.go
@@ -88,7 +88,10 @@
 }
 
 func (d *Daemon) buildStore() error {
-	client := store.NewClient(d.settings.Platform, store.WithMaxAnswer(budget.StoreAnswer(d.machine.Memory)))
+	client := store.NewClient(d.settings.Platform, store.WithMaxAnswer(budget.StoreAnswer(d.machine.Memory)),
+		store.WithEraObserver(func(before, after store.Era) {
+			d.log.Warn().Uint32("era", uint32(after)).Uint32("before", uint32(before)).Msg("store came back from an older copy")
+		}))
 	if err := kernel.Provide[store.Store](d.services, nameStore, client); err != nil {
 		return err
 	}
--- a/quota/move.go
+++ b/quota/move.go
@@ -152,6 +152,10 @@
 		o.discard(s) // another holder has taken over
 		return
 	}
+	if version.Era() != s.version.Era() {
+		o.discard(s) // from an older copy of the store: its tokens may have been added before
+		return
+	}
 	// First refill all buckets up to now at the old shares, so that a raised
 	// share does not apply to time that has passed.
 	now := o.clock()
--- a/quota/move_test.go
+++ b/quota/move_test.go
@@ -75,3 +75,32 @@
 		})
 	}
 }
+
+// TestRestoredTransfer guards against tokens of a move that are added twice after a restore.
+func TestRestoredTransfer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, c := t.Context(), &model.Customer{ID: "sugarleaf", Rate: 100, Burst: 40}
+		customers := func(model.CustomerID) (*model.Customer, bool) { return c, true }
+		platform := store.NewMem()
+		owner := func(region model.Region) (*Owner, *shard) {
+			o := NewOwner(region, []model.Region{"north", "south"}, &stubTable{[]bool{true}}, customers, platform, nil, WithOwnerShards(1))
+			o.fence(ctx, o.beginSteps()[0])
+			return o, o.owned[0]
+		}
+		north, giver := owner("north")
+		south, taker := owner("south")
+		north.reload(ctx, giver)
+		north.HandleShareRequest(share.Request{From: "south", Needs: []share.Need{{Customer: c.ID, Demand: share.DemandRates{Fast: 90, Slow: 90}}}})
+		north.planMove(giver)
+		north.writeMove(ctx, giver)
+		copied := platform.Copy()
+		south.reload(ctx, taker)
+		must.Less(t, south.shareInForce(taker, c).Rate, north.shareInForce(giver, c).Rate)
+		must.NotNil(t, taker.record.Transfer)
+		platform.Restore(copied)
+		south.reload(ctx, taker)
+		must.Nil(t, south.owned[0], must.Sprint("the holder starts again with empty buckets"))
+		south.fence(ctx, south.beginSteps()[0])
+		must.True(t, south.owned[0].ready)
+	})
+}
