--- a/claim/restored_test.go
+++ b/claim/restored_test.go
@@ -9,8 +9,7 @@
 	"rhubarbdrift.example/store"
 )
 
-// TestClaimAfterRestore guards against a request that runs again because the platform's store came
-// back from a copy that is older than the claim.
+// TestClaimAfterRestore guards against a request that runs again since its claim was lost.
 func TestClaimAfterRestore(t *testing.T) {
 	s := store.NewMem()
 	first, second := New(s), New(s)
--- a/conf/writeback_test.go
+++ b/conf/writeback_test.go
@@ -9,8 +9,7 @@
 	"rhubarbdrift.example/store"
 )
 
-// TestWriteBack guards against a configuration that is written back without parts of it, or over
-// a newer one.
+// TestWriteBack guards against a configuration that is written back in part, or over a newer one.
 func TestWriteBack(t *testing.T) {
 	for name, before := range map[string]bool{"older root": true, "no root": false} {
 		t.Run(name, func(t *testing.T) {
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -258,13 +258,32 @@
 	})
 }
 
+// nextVersion returns the version of the next commit. As a planner does, it first writes back
+// the newest configuration that a daemon has in force.
+func (f *fleet) nextVersion(ctx context.Context, t *testing.T) model.ConfigVersion {
+	t.Helper()
+	var newest *conf.Snapshot
+	for _, d := range f.daemons {
+		if c := d.holder.Current(); c != nil && (newest == nil || c.Version() > newest.Version()) {
+			newest = c
+		}
+	}
+	if newest != nil {
+		_, err := conf.WriteBack(ctx, f.mem, newest)
+		must.NoError(t, err)
+	}
+	root, _, err := conf.ReadRoot(ctx, f.mem)
+	must.NoError(t, err)
+	return root.Version + 1
+}
+
 // injectFaults runs seven hosts for 15 minutes under random faults that change the
 // roster. In each half second one random host starts if it is not running; otherwise
 // it may leave, restart, lose or regain links to a peer, to all peers or to the
-// platform, or a new version is committed. It returns a description of the first daemon that is fresh with a version
-// older than one that any daemon reports as accepted, the highest accepted version
-// and the sizes that the roster had.
-func injectFaults(t *testing.T, seed uint64, naive bool) (violation string, accepted model.ConfigVersion, sizes map[int]bool) {
+// platform, or a new version is committed. The function each is called in each half second. It
+// returns a description of the first daemon that is fresh with a version older than one that any
+// daemon reports as accepted, the highest accepted version and the sizes that the roster had.
+func injectFaults(t *testing.T, seed uint64, naive bool, each func(f *fleet)) (violation string, accepted model.ConfigVersion, sizes map[int]bool) {
 	t.Helper()
 	sizes = make(map[int]bool)
 	synctest.Test(t, func(t *testing.T) {
@@ -272,8 +291,7 @@
 		f.naive = naive
 		ctx, cancel := context.WithCancel(t.Context())
 		random := rand.New(rand.NewPCG(seed, 2))
-		newest := model.ConfigVersion(1)
-		commit(t, f.mem, newest)
+		commit(t, f.mem, 1)
 		for range 1800 {
 			a, b := fmt.Sprint("h", random.IntN(7)), fmt.Sprint("h", random.IntN(7))
 			if d := f.daemons[a]; d == nil {
@@ -298,10 +316,10 @@
 					d.link.SetUnavailable(n < 110)
 					f.locked(func() { f.stuck[a] = n < 110 })
 				case n < 126:
-					newest++
-					commit(t, f.mem, newest)
+					commit(t, f.mem, f.nextVersion(ctx, t))
 				}
 			}
+			each(f)
 			time.Sleep(500 * time.Millisecond)
 			for _, d := range f.daemons {
 				sizes[len(d.member.Roster().Hosts)] = true
@@ -326,11 +344,11 @@
 func TestAccepted(t *testing.T) {
 	naiveViolations := 0
 	for seed := range uint64(3) {
-		violation, accepted, sizes := injectFaults(t, seed, false)
+		violation, accepted, sizes := injectFaults(t, seed, false, func(*fleet) {})
 		must.EqOp(t, "", violation, must.Sprint("seed ", seed))
 		must.Greater(t, 5, int(accepted))
 		must.Greater(t, 2, len(sizes), must.Sprint("the roster changed"))
-		if violation, _, _ := injectFaults(t, seed, true); violation != "" {
+		if violation, _, _ := injectFaults(t, seed, true, func(*fleet) {}); violation != "" {
 			naiveViolations++
 		}
 		t.Logf("seed %d: version %d accepted, %d sizes of the roster", seed, accepted, len(sizes))
--- a/feed/restored_test.go
+++ b/feed/restored_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -9,10 +10,10 @@
 
 	"rhubarbdrift.example/cell"
 	"rhubarbdrift.example/conf"
+	"rhubarbdrift.example/store"
 )
 
-// TestWriteBack guards against an accepted configuration that is lost, or replaced by another
-// one of its version, when the platform's store comes back from an older copy.
+// TestWriteBack guards against an accepted configuration that is lost with the store, or replaced.
 func TestWriteBack(t *testing.T) {
 	runCell(t, func(t *testing.T, ctx context.Context, f *fleet) {
 		copied := f.mem.Copy()
@@ -37,3 +38,25 @@
 		f.expect(t, 4)
 	})
 }
+
+// TestAcceptedRestored is TestAccepted with a store that comes back from older copies.
+func TestAcceptedRestored(t *testing.T) {
+	for seed := range uint64(6) {
+		random, restores := rand.New(rand.NewPCG(seed, 37)), 0
+		var copies []store.Copy
+		violation, accepted, sizes := injectFaults(t, seed, false, func(f *fleet) {
+			if copies = append(copies, f.mem.Copy()); random.IntN(80) == 0 {
+				f.mem.SetUnavailable(true)
+				time.Sleep(time.Duration(random.IntN(4000)) * time.Millisecond)
+				f.mem.Restore(copies[max(0, len(copies)-1-random.IntN(18))])
+				f.mem.SetUnavailable(false)
+				copies = []store.Copy{f.mem.Copy()}
+				restores++
+			}
+		})
+		must.EqOp(t, "", violation, must.Sprint("seed ", seed))
+		must.Greater(t, 5, int(accepted))
+		must.Greater(t, 2, len(sizes))
+		must.Greater(t, 5, restores)
+	}
+}
--- a/lease/restored_test.go
+++ b/lease/restored_test.go
@@ -13,8 +13,7 @@
 	"rhubarbdrift.example/store"
 )
 
-// TestRestoredLease guards against a holder that stops because the platform's store came back from
-// an older copy of its lease.
+// TestRestoredLease guards against a holder that stops since an older copy has an older lease.
 func TestRestoredLease(t *testing.T) {
 	withHeldShards(t, func(t *testing.T, w *world, first *node) {
 		for _, age := range []time.Duration{time.Second, 4 * time.Second, 9 * time.Second} {
@@ -30,8 +29,7 @@
 	})
 }
 
-// TestRestoredRelease guards against a shard with two holders after the platform's store came back
-// from a copy in which its lease is released, as it was before it was acquired again.
+// TestRestoredRelease guards against a second holder of a lease that is released in an older copy.
 func TestRestoredRelease(t *testing.T) {
 	withHeldShards(t, func(t *testing.T, w *world, first *node) {
 		must.NoError(t, first.keeper.Release(t.Context()))
@@ -49,10 +47,7 @@
 	})
 }
 
-// TestRestoredWorld guards against shards with two holders, and against shards that stay vacant,
-// when the platform's store comes back from older copies while hosts are killed, paused and
-// started. A daemon that starts in the first seconds after the return is left out; see the package
-// comment.
+// TestRestoredWorld guards against shards with two holders, or none, under faults. No daemon starts within 4 s of a restore.
 func TestRestoredWorld(t *testing.T) {
 	for seed := range uint64(60) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/objapi/restore_test.go
+++ b/objapi/restore_test.go
@@ -22,9 +22,7 @@
 	must.EqOp(t, 200, code)
 }
 
-// TestRestore guards against versions of before the store came back from an older copy that a
-// watch continues from, or that are the condition of a write, although their revisions were given
-// out again.
+// TestRestore guards against versions of an earlier era in watches and as conditions of writes.
 func TestRestore(t *testing.T) {
 	_, c, base := startServer(t, WithWait(100*time.Millisecond))
 	ctx := context.Background()
@@ -64,8 +62,7 @@
 	test.Eq(t, again, events[0].Object.Version)
 }
 
-// TestWriteAcrossRestore guards against a write that is reported as successful although it was
-// executed in a later era than that in which its condition was read.
+// TestWriteAcrossRestore guards against the success of a write whose condition is of an earlier era.
 func TestWriteAcrossRestore(t *testing.T) {
 	_, c, base := startServer(t)
 	ctx := context.Background()
@@ -81,8 +78,7 @@
 	test.True(t, fault.Is(err, fault.KindUnknown), test.Sprint(err))
 }
 
-// TestWaitingWatch guards against a watch that waits on for changes after a revision which the
-// store does not have any more.
+// TestWaitingWatch guards against a watch that waits on after a revision that the store lost.
 func TestWaitingWatch(t *testing.T) {
 	_, c, base := startServer(t)
 	ctx := context.Background()
--- a/plan/confirm_test.go
+++ b/plan/confirm_test.go
@@ -151,8 +151,7 @@
 	must.True(t, linearizable, must.Sprintf("seed %d: the history of confirmations is not linearizable", seed))
 }
 
-// TestPlanAfterRestore guards against a change that gets the version of another one, which is in
-// force, because the platform's store came back from an older copy.
+// TestPlanAfterRestore guards against a change with the version of one that is in force.
 func TestPlanAfterRestore(t *testing.T) {
 	ctx, m := t.Context(), store.NewMem()
 	var inForce *conf.Snapshot
--- a/proxy/announce_test.go
+++ b/proxy/announce_test.go
@@ -214,8 +214,7 @@
 	test.GreaterEq(t, coldTime, time.Since(cold))
 }
 
-// TestListUpdatedWhileSending guards against an exchange that reads the entry of its target while
-// the list of targets is updated. The race detector reports it.
+// TestListUpdatedWhileSending guards against an entry that is read while the list is updated (race detector).
 func TestListUpdatedWhileSending(t *testing.T) {
 	a := newAnnouncers(t, "one", "two")
 	ended := make(chan struct{})
--- a/store/era_test.go
+++ b/store/era_test.go
@@ -52,8 +52,7 @@
 	}
 }
 
-// TestListAcrossEras guards against a list whose pages are from different copies of the store,
-// and against answers from before a new era that are taken for current.
+// TestListAcrossEras guards against lists of two copies of the store, and answers of an earlier one.
 func TestListAcrossEras(t *testing.T) {
 	eras := []string{"1", "2", "2", "1", "x"}
 	calls := 0
--- a/watch/departure_test.go
+++ b/watch/departure_test.go
@@ -13,8 +13,7 @@
 	"rhubarbdrift.example/store"
 )
 
-// TestDepartedTargets guards against targets that left, and that a store which came back from an
-// older copy lists as running, and against targets that are left out for good although they run.
+// TestDepartedTargets guards against targets that left and are used, and running ones that never are again.
 func TestDepartedTargets(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := newPair(t).child
@@ -56,8 +55,7 @@
 	})
 }
 
-// TestRunningMissing guards against targets that are dropped because an older copy of the store
-// lacks them, before they could register again, also after a short outage.
+// TestRunningMissing guards against targets that are dropped before they could register again.
 func TestRunningMissing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := newPair(t).child
@@ -75,8 +73,7 @@
 	})
 }
 
-// TestContentReadAgain guards against an entry that counts as written again, for example for the
-// time for which its target is cold, although it was only read again in a later era.
+// TestContentReadAgain guards against an entry that counts as written again when it is only read again.
 func TestContentReadAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := newPair(t).child
--- a/watch/evacuations_test.go
+++ b/watch/evacuations_test.go
@@ -164,8 +164,7 @@
 	})
 }
 
-// TestEvacuationMissing guards against an evacuated domain that is used because an older copy of
-// the store lacks the evacuation, and against one that is never used again.
+// TestEvacuationMissing guards against an evacuated domain in use, or out of use for good, after a restore.
 func TestEvacuationMissing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newScriptedStore()
--- a/watch/hosts_test.go
+++ b/watch/hosts_test.go
@@ -97,8 +97,7 @@
 	test.Eq(t, []string{"self 10.0.0.2:7360", "sound 10.0.0.1:7360"}, ids)
 }
 
-// TestHostAfterRestore guards against a daemon that is not on the list after the store came back
-// from a copy without it, or whose entry stays there after its planned stop.
+// TestHostAfterRestore guards against a missing entry of a daemon that runs, and one of a daemon that stopped.
 func TestHostAfterRestore(t *testing.T) {
 	for name, registered := range map[string]bool{"without its entry": false, "with its entry": true} {
 		t.Run(name, func(t *testing.T) {
--- a/watch/model_test.go
+++ b/watch/model_test.go
@@ -252,9 +252,7 @@
 	synctest.Wait()
 }
 
-// TestRestoredFleet guards against hosts that miss changes, use targets that left or go back to an
-// older configuration, when the store comes back from older copies while hosts are cut off from
-// it and from each other, and are restarted.
+// TestRestoredFleet guards against lost changes, targets that left, and configurations that go back.
 func TestRestoredFleet(t *testing.T) {
 	for seed := range uint64(200) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
--- a/watch/newest_test.go
+++ b/watch/newest_test.go
@@ -26,8 +26,7 @@
 	return store.Object{Name: "main", Value: bytes.Repeat([]byte("x"), version)}
 }
 
-// TestConfigOlderInStore guards against an accepted configuration that neighbours do not get while
-// an older copy of the store holds the one before it, or none.
+// TestConfigOlderInStore guards against neighbours that get an older configuration than that in force.
 func TestConfigOlderInStore(t *testing.T) {
 	for name, older := range map[string][]store.Object{"older": {configOf(3)}, "none": nil, "odd": {{Name: "main", Problem: "odd"}}} {
 		t.Run(name, func(t *testing.T) {
@@ -67,8 +66,7 @@
 	}
 }
 
-// TestNewestRepeated guards against a configuration that is sent in each message to a neighbour
-// which cannot use it.
+// TestNewestRepeated guards against a configuration in each message to a neighbour that cannot use it.
 func TestNewestRepeated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c, sent := newConfigList(), 0
--- a/watch/restored_test.go
+++ b/watch/restored_test.go
@@ -39,8 +39,7 @@
 	return strings.Join(names, " ")
 }
 
-// TestRestoredRelay guards against a copy of the list from before the store came back from an
-// older copy that is taken for current, or for newer, since its revision is the same or higher.
+// TestRestoredRelay guards against a list of an earlier era that counts as newer, or as the same.
 func TestRestoredRelay(t *testing.T) {
 	for name, revision := range map[string]uint64{"lower": 7, "same": 9, "higher": 12} {
 		t.Run(name, func(t *testing.T) {
