claim: claims are written again when the platform's store lost them

Cause: nothing but the store held claims.

Change: a daemon remembers the claims that it wrote in the last 30 s, and reads the newest once a second while there are any. If it is missing, or its version is of a later era, the daemon creates those that are missing. A daemon that notices the new era with a claim of its own deletes that, and none begins a claim for 5 s after it noticed. A claim in the place of a remembered one is about to be deleted, so the remembered one is created a second later.

Not kept: a daemon that stops, or does not reach the platform, before it has written again; a daemon that starts in the first seconds.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -24,6 +24,11 @@
 //
 // Each successful Begin needs exactly one Finish. The daemon that owns shard 0
 // calls Sweep about once a second to delete claims older than Retention.
+//
+// Each daemon calls Follow about once a second. If the platform's store comes back from an older
+// copy, the daemons write their latest claims again, and none is begun for some seconds on a
+// daemon that knew the store before. A claim is lost if its daemon stops before that, or does not
+// reach the store, and a daemon that starts right after the return does not wait.
 package claim
 
 import (
@@ -138,6 +143,10 @@
 		"find out whether the earlier request took effect before sending it with a new key")
 }
 
+func errRestored() error {
+	return newRefusal(KindUnclaimed, "the platform's store came back from an older copy, and claims are being written again", "send the request again after some seconds")
+}
+
 func errMismatch() error {
 	return newRefusal(KindMismatch, "this Idempotency-Key came before with a different request", "use a new key for each request")
 }
--- a/claim/keeper.go
+++ b/claim/keeper.go
@@ -47,6 +47,7 @@
 	localClaims map[string]*localClaim // by object name
 	expired     []store.Object         // found by Sweep and still to be deleted
 	sweptUpTo   string                 // name after which Sweep continues; empty: with the first claim
+	restores    restores
 }
 
 // localClaim is a claim between the start of Begin and the call of Finish in
@@ -75,6 +76,7 @@
 func New(platform store.Store, options ...Option) *Keeper {
 	k := &Keeper{
 		platform: platform, clock: time.Now, budget: defaultBudget, daemons: 1, localClaims: map[string]*localClaim{},
+		restores: restores{made: map[string]*madeClaim{}},
 	}
 	for _, f := range options {
 		f(k)
@@ -111,6 +113,9 @@
 // requests with the same key must have the same fingerprint.
 func (k *Keeper) Begin(ctx context.Context, customer model.CustomerID, key string, fingerprint model.Digest) (Claim, error) {
 	claimed := Claim{objectName: objectName(customer, key)}
+	if k.held() {
+		return Claim{}, errRestored()
+	}
 	ctx, cancel := context.WithTimeout(ctx, beginTimeout)
 	defer cancel()
 	local, err := k.register(ctx, claimed.objectName, fingerprint)
@@ -121,6 +126,9 @@
 		claimed.record = Record{Nonce: uuid.NewString(), State: StateOpen, Fingerprint: fingerprint, Created: k.clock().Unix()}
 		claimed.version, local.err = k.create(ctx, claimed)
 	}
+	if local.err == nil {
+		local.err = k.checkRestored(ctx, claimed)
+	}
 	if local.err != nil {
 		k.unregister(claimed.objectName)
 	}
@@ -128,6 +136,23 @@
 	return claimed, local.err
 }
 
+// checkRestored returns an error for a claim that is the first of a later era: the store came
+// back from an older copy, and may have lost an earlier claim of the key. A claim that is used is
+// remembered.
+func (k *Keeper) checkRestored(ctx context.Context, claimed Claim) error {
+	if k.noteEra(claimed.version.Era()) || k.held() {
+		// If the deletion fails, the key stays blocked.
+		_ = k.platform.Delete(ctx, store.KindClaim, claimed.objectName, claimed.version)
+		return errRestored()
+	}
+	value, err := claimed.record.Encode()
+	if err != nil {
+		return errUnclaimed(err.Error())
+	}
+	k.remember(claimed, value, claimed.version.Era())
+	return nil
+}
+
 // register lets one request per key continue, so that concurrent requests with
 // the key cost no further writes. They wait until its Begin has ended and are
 // refused according to the result. If it failed and its fingerprint was another
@@ -224,6 +249,9 @@
 // read.
 func (k *Keeper) readBack(ctx context.Context, claimed Claim) (store.Version, bool, error) {
 	r, version, err := k.get(ctx, claimed.objectName)
+	if err == nil {
+		k.noteEra(version.Era())
+	}
 	switch {
 	case fault.Is(err, fault.KindInvalid):
 		return 0, false, errOpen() // an unreadable claim: its request may have run
@@ -248,8 +276,11 @@
 	// Later requests with the key must read the claim from the platform, which
 	// may have the outcome before this call returns.
 	k.unregister(claimed.objectName)
-	if r.State == StateOpen {
+	switch r.State {
+	case StateOpen:
 		return nil
+	case StateReleased:
+		k.forget(claimed.objectName)
 	}
 	// Later requests depend on the outcome even if this caller has disconnected.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
@@ -283,7 +314,10 @@
 	if err != nil {
 		return err
 	}
-	_, err = k.put(ctx, claimed.objectName, value, claimed.version)
+	version, err := k.put(ctx, claimed.objectName, value, claimed.version)
+	if err == nil {
+		k.remember(claimed, value, version.Era())
+	}
 	return err
 }
 
--- a/daemon/claims.go
+++ b/daemon/claims.go
@@ -70,10 +70,13 @@
 	return kernel.Every(ctx, sweepInterval, c.sweep)
 }
 
-// sweep updates the number of daemons that share the budget of claim writes and, if
-// this daemon owns sweepShard, deletes a batch of old claims.
+// sweep updates the number of daemons that share the budget of claim writes, writes claims again
+// that the platform lost and, if this daemon owns sweepShard, deletes a batch of old claims.
 func (c *claims) sweep(ctx context.Context) {
 	c.keeper.SetDaemons(max(minFleet, len(c.directory.Hosts())))
+	if err := c.keeper.Follow(ctx); err != nil {
+		c.log.Debug().Err(err).Msg("cannot compare the latest claims with the platform")
+	}
 	if !c.leases.Holds(sweepShard) {
 		return
 	}
