--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -37,6 +37,7 @@
 var cases = map[string]func(dir string, r *record) (broken bool, err error){
 	"left":    runLeft,
 	"headers": runHeaders,
+	"odd":     runOdd,
 }
 
 func main() {
--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -147,8 +147,12 @@
 	}
 }
 
-// listPage is how many objects one answer to a list holds.
-const listPage = 500
+// listPage and listBytes bound one answer to a list, in objects and in bytes of their values. A
+// single larger object is sent alone.
+const (
+	listPage  = 500
+	listBytes = 1 << 20
+)
 
 func (s *store) list(w http.ResponseWriter, kind, after string) {
 	items := []object{}
@@ -158,8 +162,13 @@
 		}
 	}
 	slices.SortFunc(items, func(a, b object) int { return strings.Compare(a.Metadata.Name, b.Metadata.Name) })
-	more := len(items) > listPage
-	reply(w, http.StatusOK, map[string]any{"items": items[:min(len(items), listPage)], "more": more, "asOf": s.revision})
+	count := 0
+	for size := 0; count < min(len(items), listPage); count++ {
+		if size += len(items[count].Spec); size > listBytes && count > 0 {
+			break
+		}
+	}
+	reply(w, http.StatusOK, map[string]any{"items": items[:count], "more": count < len(items), "asOf": s.revision})
 }
 
 func (s *store) watch(w http.ResponseWriter, r *http.Request, kind, afterText string) {
