strict, exch: a response with an invalid status is not returned

Callers got a response with status 000 as 200, with its body. fasthttp takes the number 0 as 'not set' and returns 200 for it, and what counts as a response was left to its reading, which also accepts other versions than HTTP/1, control characters in the reason phrase (which the daemon passed on) and an empty line in front.

Change: package strict reads all heads of a response, informational and late ones included, checks each line before fasthttp decodes it, and refuses a head at its first wrong line. exch uses it instead of fasthttp's own reading, so an exchange with such a head is Broken: 502 with its run unknown or another target, a closed connection, evidence against the target, and nothing that the head announces counts, 'not executed' included.

Why it works: the check comes before the decoder sees the bytes, and the decoder must end the head where the check does.

The fuzz target ran 1.86 million inputs without a finding.

--- a/exch/exchange.go
+++ b/exch/exchange.go
@@ -16,6 +16,7 @@
 
 	"rhubarbdrift.example/fault"
 	"rhubarbdrift.example/model"
+	"rhubarbdrift.example/strict"
 )
 
 // bufferSize is the size in bytes of the read and write buffers. It also
@@ -216,7 +217,7 @@
 // request id arrived late on the connection and is skipped.
 func (x *exchange) readHeader(req *fasthttp.Request) error {
 	for range maxResponses {
-		if err := x.response.ReadLimitBody(x.reader, 0); err != nil {
+		if err := strict.Read(x.reader, x.response, 0); err != nil {
 			return err
 		}
 		name := x.client.headers.Request
@@ -381,6 +382,9 @@
 	case x.conn.bytesWritten == 0:
 		x.out.Class = NotRun
 		x.out.Err = fault.Wrap(fault.KindUnavailable, err, "no byte was sent to target "+address, "send the request again")
+	case errors.Is(err, strict.ErrMalformed):
+		x.out.Class = Broken
+		x.out.Err = fault.Wrap(fault.KindUnknown, err, "target "+address+" sent no valid response", "check the target; ask for the state before sending the request again")
 	case x.conn.bytesRead > 0:
 		x.out.Class = Broken
 		x.out.Stalled = isTimeout(err)
--- /dev/null
+++ b/exch/malformed_test.go
@@ -0,0 +1,65 @@
+package exch
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/valyala/fasthttp"
+)
+
+// announcing are the headers of a target's own success that announces everything about itself.
+const announcing = "Request: 1\r\nSignature: s\r\nShed: 1\r\nLeaving: 1\r\nLimit: 1\r\nRetry-After: 9\r\n"
+
+// malformed are what a target sends that is not a response of HTTP/1.1. All end a head.
+var malformed = map[string]string{
+	"status 000":              "HTTP/1.1 000 OK\r\n" + announcing + "Content-Length: 3\r\n\r\nbad",
+	"status 099":              "HTTP/1.1 099 OK\r\n" + announcing + "Content-Length: 3\r\n\r\nbad",
+	"status 600":              "HTTP/1.1 600 OK\r\n" + announcing + "Content-Length: 3\r\n\r\nbad",
+	"status of two digits":    "HTTP/1.1 20 OK\r\n" + announcing + "Content-Length: 3\r\n\r\nbad",
+	"status of four digits":   "HTTP/1.1 2000 OK\r\n" + announcing + "Content-Length: 3\r\n\r\nbad",
+	"status with a sign":      "HTTP/1.1 +20 OK\r\n" + announcing + "Content-Length: 3\r\n\r\nbad",
+	"version 2":               "HTTP/2.0 200 OK\r\n" + announcing + "Content-Length: 3\r\n\r\nbad",
+	"control byte in reason":  "HTTP/1.1 200 O\x01K\r\n" + announcing + "Content-Length: 3\r\n\r\nbad",
+	"carriage return":         "HTTP/1.1 200 O\rK\r\n" + announcing + "Content-Length: 3\r\n\r\nbad",
+	"empty line first":        "\r\nHTTP/1.1 200 OK\r\n" + announcing + "Content-Length: 3\r\n\r\nbad",
+	"interim status 000":      "HTTP/1.1 000 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + announcing + "Content-Length: 3\r\n\r\nbad",
+	"control byte in interim": "HTTP/1.1 100 \x01\r\n\r\nHTTP/1.1 200 OK\r\n" + announcing + "Content-Length: 3\r\n\r\nbad",
+	"status 000 of a late response": "HTTP/1.1 000 OK\r\nRequest: 0\r\nContent-Length: 3\r\n\r\nbad" +
+		"HTTP/1.1 200 OK\r\n" + announcing + "Content-Length: 3\r\n\r\nbad",
+}
+
+// TestMalformed guards against bytes that are no response but are returned as one, that keep
+// their connection, or of which anything counts as said by the target.
+func TestMalformed(t *testing.T) {
+	names := platformHeaders
+	names.Drain, names.Limit, names.RetryAfter = "Leaving", "Limit", "Retry-After"
+	for name, text := range malformed {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &scriptedTarget{script: func(nc net.Conn, _ int) { send(nc, text) }}
+				c := New(WithDial(s.dial), WithHeaders(names))
+				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+				defer cancel()
+				req, resp := newRequest("POST"), new(fasthttp.Response)
+				req.Header.Set("Request", "1")
+				started := time.Now()
+				out := c.Do(ctx, target, req, resp)
+				test.Eq(t, Broken, out.Class)
+				test.False(t, out.NotRun())
+				test.False(t, out.Announced || out.Draining || out.Limited || out.Canceled || out.RetryAfter > 0)
+				test.Zero(t, out.Status)
+				test.Error(t, out.Err)
+				test.Zero(t, len(resp.Body()))
+				test.SliceEmpty(t, resp.Header.Peek("Request"))
+				test.Zero(t, time.Since(started), test.Sprint("the end of the head was waited for"))
+				open, _ := c.Connections(target)
+				test.Zero(t, open)
+				c.Close()
+			})
+		})
+	}
+}
--- /dev/null
+++ b/strict/doc.go
@@ -0,0 +1,26 @@
+// Package strict reads HTTP/1.1 responses. It decides which bytes are a response:
+// fasthttp, which decodes them, also accepts some that RFC 9110 and RFC 9112 do not
+// allow, for example the status 000, which it returns as 200.
+//
+// The rules hold for every head, that of an informational response included:
+//
+//   - The first line is a status line of HTTP/1.x with a status from 100 to 599.
+//     A response with another status may be treated as a server error (RFC 9110,
+//     section 15), but nothing else in it can be trusted then.
+//   - The reason phrase holds no control character but the tab.
+//   - The head ends with CR LF CR LF. At an empty line without CR, fasthttp looks for
+//     the end of the head in the body.
+//
+// What the RFCs let a recipient mend or pass on is a response: several spaces in the
+// status line, no reason phrase, a status without a name (such as 299 or 499), and lines
+// other than the last two that end with LF alone.
+//
+// A head is refused at its first line that breaks a rule, without waiting for its end.
+//
+// # Usage
+//
+//	resp.StreamBody = true
+//	if err := strict.Read(reader, resp, 0); err != nil {
+//		_ = conn.Close() // what follows on the connection belongs to no request
+//	}
+package strict
--- /dev/null
+++ b/strict/head.go
@@ -0,0 +1,101 @@
+package strict
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// ErrMalformed is the cause of all errors for bytes that are no HTTP/1.1 response.
+var ErrMalformed = errors.New("malformed response")
+
+// malformed returns an error with the cause ErrMalformed and a reason.
+func malformed(format string, args ...any) error {
+	return fmt.Errorf("%w: %s", ErrMalformed, fmt.Sprintf(format, args...))
+}
+
+// head checks the lines of one response head as they arrive.
+type head struct {
+	size  int // bytes of the complete lines that were checked
+	lines int
+}
+
+// peekHead waits until the buffer of r holds a whole response head and returns the size
+// in bytes, with the empty line at the end. It consumes nothing. The error is ErrMalformed
+// as soon as a line breaks the rules, bufio.ErrBufferFull if the head does not fit into the
+// buffer, and otherwise that of the connection.
+func peekHead(r *bufio.Reader) (size int, err error) {
+	var h head
+	for want := 1; ; {
+		if _, err := r.Peek(want); errors.Is(err, io.EOF) && want > 1 {
+			return 0, io.ErrUnexpectedEOF
+		} else if err != nil {
+			return 0, err
+		}
+		data, _ := r.Peek(r.Buffered()) // cannot fail
+		if ended, err := h.check(data); ended || err != nil {
+			return h.size, err
+		}
+		want = len(data) + 1
+	}
+}
+
+// check checks the lines in data, the beginning of the head, that are complete and not
+// checked yet. It returns true at the end of the head.
+func (h *head) check(data []byte) (ended bool, err error) {
+	for {
+		n := bytes.IndexByte(data[h.size:], '\n')
+		if n < 0 {
+			return false, nil
+		}
+		begin := h.size
+		h.size += n + 1
+		line := bytes.TrimSuffix(data[begin:h.size-1], []byte("\r"))
+		switch h.lines++; {
+		case h.lines == 1:
+			if err := checkStatusLine(line); err != nil {
+				return false, err
+			}
+		case len(line) == 0 && !bytes.HasSuffix(data[:h.size], []byte("\r\n\r\n")):
+			return false, malformed("the header does not end with CR LF CR LF")
+		case len(line) == 0:
+			return true, nil
+		}
+	}
+}
+
+// checkStatusLine checks the first line of a head, without its end.
+func checkStatusLine(line []byte) error {
+	version, rest, found := bytes.Cut(line, []byte(" "))
+	if !found || len(version) != len("HTTP/1.1") || !bytes.HasPrefix(version, []byte("HTTP/1.")) || !isDigit(version[7]) {
+		return malformed("%q is no status line of HTTP/1", excerpt(line))
+	}
+	status, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	if len(status) != 3 || status[0] < '1' || status[0] > '5' || !isDigit(status[1]) || !isDigit(status[2]) {
+		return malformed("status %q is not between 100 and 599", excerpt(status))
+	}
+	if !isText(reason) {
+		return malformed("the reason phrase %q contains a control character", excerpt(reason))
+	}
+	return nil
+}
+
+func isDigit(c byte) bool { return '0' <= c && c <= '9' }
+
+// isText reports whether text contains no control character but the tab.
+func isText(text []byte) bool {
+	for _, c := range text {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// excerpt returns the beginning of the text, for messages.
+func excerpt(text []byte) []byte {
+	const most = 64
+	return text[:min(len(text), most)]
+}
--- /dev/null
+++ b/strict/read.go
@@ -0,0 +1,65 @@
+package strict
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/valyala/fasthttp"
+)
+
+// maxInterim is the number of informational responses that may precede a response.
+const maxInterim = 100
+
+// Read reads a response into resp. It skips informational responses other than 101. It
+// replaces resp.ReadLimitBody and does the same with the body: it reads at most maxBody
+// bytes of it, or without a limit if maxBody is 0. With resp.StreamBody, the body is left
+// to resp.BodyStream; with resp.SkipBody, the response has none.
+//
+// If the bytes are no response, the error is ErrMalformed. After any error, resp must not
+// be used and the connection must be closed.
+func Read(r *bufio.Reader, resp *fasthttp.Response, maxBody int) error {
+	resp.ResetBody()
+	if err := readHeader(r, &resp.Header); err != nil {
+		return err
+	}
+	if resp.SkipBody || !hasBody(resp.Header.StatusCode()) {
+		return nil
+	}
+	if err := resp.ReadBody(r, maxBody); err != nil || resp.StreamBody || resp.Header.ContentLength() != -1 {
+		return err
+	}
+	if err := resp.Header.ReadTrailer(r); errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	} else if err != nil {
+		return err
+	}
+	return nil
+}
+
+// readHeader reads heads up to and including the first one that is not informational.
+func readHeader(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
+	for range maxInterim + 1 {
+		size, err := peekHead(r)
+		if err != nil {
+			return err
+		}
+		before := r.Buffered()
+		if err := h.Read(r); err != nil {
+			return malformed("%v", err)
+		}
+		if before-r.Buffered() != size {
+			return malformed("the end of the header is ambiguous")
+		}
+		if status := h.StatusCode(); status >= http.StatusOK || status == http.StatusSwitchingProtocols {
+			return nil
+		}
+	}
+	return malformed("more than %d informational responses", maxInterim)
+}
+
+// hasBody reports whether responses with the status have a body.
+func hasBody(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+}
--- /dev/null
+++ b/strict/strict_test.go
@@ -0,0 +1,102 @@
+package strict
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"testing/synctest"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+	"github.com/valyala/fasthttp"
+
+	"rhubarbdrift.example/golden"
+)
+
+// newResponse returns an empty response, as package exch uses it.
+func newResponse() *fasthttp.Response {
+	resp := new(fasthttp.Response)
+	resp.Header.SetNoDefaultContentType(true)
+	return resp
+}
+
+// describe reads a response and returns its status, header and body, or the error.
+func describe(r io.Reader) string {
+	resp := newResponse()
+	if err := Read(bufio.NewReader(r), resp, 0); err != nil {
+		if !errors.Is(err, ErrMalformed) {
+			return "other error: " + err.Error()
+		}
+		return err.Error()
+	}
+	var b strings.Builder
+	_, _ = fmt.Fprintf(&b, "%d", resp.StatusCode())
+	for name, value := range resp.Header.All() {
+		_, _ = fmt.Fprintf(&b, " %q=%q", name, value)
+	}
+	return fmt.Sprintf("%s body=%q", b.String(), resp.Body())
+}
+
+// TestHeads guards against heads that are no HTTP/1.1 response but are accepted, and against
+// unusual ones that are refused. Each verdict stands in the golden file. It must not depend on
+// how the bytes arrive.
+func TestHeads(t *testing.T) {
+	input, want := readHeads(t)
+	var got strings.Builder
+	for i, text := range input {
+		whole := describe(strings.NewReader(text))
+		_, _ = fmt.Fprintf(&got, "%q\n\t%s\n", text, whole)
+		test.Eq(t, whole, describe(iotest.OneByteReader(strings.NewReader(text))), test.Sprintf("%d, byte by byte: %q", i, text))
+	}
+	golden.Compare(t, want, got.String())
+}
+
+// TestEarly guards against heads that are refused only at their end, which may never come.
+func TestEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) { // fails if a read waits for ever
+		for _, text := range []string{"HTTP/1.1 000 OK\r\n", "SSH-2.0-x\r\n"} {
+			silent, _ := io.Pipe()
+			err := Read(bufio.NewReader(io.MultiReader(strings.NewReader(text), silent)), newResponse(), 0)
+			test.ErrorIs(t, err, ErrMalformed, test.Sprintf("%q", text))
+		}
+	})
+}
+
+// TestCutOff guards against a head that broke off but is returned, or that is called malformed
+// although only its end is missing.
+func TestCutOff(t *testing.T) {
+	const whole = "HTTP/1.1 103 Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nFolded: a\r\n b\r\nContent-Length: 0\r\n\r\n"
+	must.NoError(t, Read(bufio.NewReader(strings.NewReader(whole)), newResponse(), 0))
+	for n := range len(whole) {
+		err := Read(bufio.NewReader(strings.NewReader(whole[:n])), newResponse(), 0)
+		test.True(t, errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF), test.Sprintf("%v after %q", err, whole[:n]))
+	}
+}
+
+// TestLongHead guards against a head larger than the buffer.
+func TestLongHead(t *testing.T) {
+	for _, text := range []string{"HTTP/1.1 200 " + strings.Repeat("x", 5000), "HTTP/1.1 200 OK\r\n" + strings.Repeat("Name: x\r\n", 600)} {
+		err := Read(bufio.NewReaderSize(strings.NewReader(text), 4096), newResponse(), 0)
+		test.ErrorIs(t, err, bufio.ErrBufferFull)
+	}
+}
+
+// FuzzRead guards against a response that is accepted although its status is not one.
+func FuzzRead(f *testing.F) {
+	input, _ := readHeads(f)
+	for _, text := range input {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		resp := newResponse()
+		if Read(bufio.NewReader(bytes.NewReader(data)), resp, 1<<16) != nil {
+			return
+		}
+		test.Between(t, 100, resp.StatusCode(), 599)
+	})
+}
