store: an answer that is no HTTP/1.1 response is not decoded

With status 000 or 600, or a blank in the name of a field, an answer at the store's address was taken for an object, for the acknowledgement of a write, for a conflict or an outage, and its Store-Era began a new era. The client read answers by fasthttp's rules.

A read fails as unavailable, a write with its outcome unknown, and the connection is closed. Why it works: the error comes before the header is looked at.

Result: store TestMalformed failed in 7 of 9 cases before (control bytes were refused already), passes now.

--- a/store/client.go
+++ b/store/client.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"rhubarbdrift.example/fault"
+	"rhubarbdrift.example/strict"
 )
 
 // Defaults of Client.
@@ -95,6 +96,7 @@
 	c.http = &fasthttp.HostClient{
 		Addr:        address,
 		DialTimeout: dial,
+		Transport:   strict.Transport{},
 		// Without a limit, memory is allocated for any length that an answer announces.
 		MaxResponseBodySize: c.maxAnswer,
 		// Each call is sent once. If a write took effect but its answer was lost,
