cmds: an answer that is no HTTP/1.1 response is not printed

explain, status and the other commands took an answer with status 000 or a blank in a name for that of a daemon. Change: they read with strict.Transport. Result: cmds TestMalformed failed for 3 of 4 heads before, passes now.

--- a/cmds/client.go
+++ b/cmds/client.go
@@ -10,6 +10,7 @@
 
 	"rhubarbdrift.example/admin"
 	"rhubarbdrift.example/fault"
+	"rhubarbdrift.example/strict"
 )
 
 const (
@@ -57,7 +58,7 @@
 // sendCall sends a call to a daemon once and reads its answer. The client must not retry on its
 // own: a confirmation may have been committed although its response was lost.
 func sendCall(req *fasthttp.Request, resp *fasthttp.Response) error {
-	client := &fasthttp.Client{MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxAnswerBytes}
+	client := &fasthttp.Client{MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxAnswerBytes, Transport: strict.Transport{}}
 	return client.DoTimeout(req, resp, adminTimeout)
 }
 
