strict: a response with an invalid trailer is not complete

A chunked response whose trailers had a blank in a name counted as complete and kept its connection; fasthttp tolerates it there as in heads. Callers did not get the line, since trailers are dropped, but what the response says of itself is no HTTP/1.1. Control bytes in trailers were refused already; that is kept.

Change: strict.Body, by which exch reads bodies, checks the names of received trailers at the end. Trailers that are only announced are dropped with the head, so that they are not taken for received ones.

Result: exch TestMalformedTrailer failed for a response and for a late one before, passes now.

--- a/exch/body.go
+++ b/exch/body.go
@@ -3,6 +3,8 @@
 import (
 	"errors"
 	"io"
+
+	"rhubarbdrift.example/strict"
 )
 
 // errAbandoned is the cause of an exchange whose response body was closed before
@@ -28,7 +30,7 @@
 	if x.reader == nil {
 		return 0, io.ErrClosedPipe
 	}
-	n, err := x.response.BodyStream().Read(p)
+	n, err := strict.Body{Response: x.response}.Read(p)
 	b.size += int64(n)
 	if err == nil && b.buffered && x.consumed()-b.begin-b.size > b.size+maxFraming {
 		err = errFraming
--- a/exch/exchange.go
+++ b/exch/exchange.go
@@ -242,11 +242,11 @@
 // discardBody reads the body of a late response of a size, which may be negative if
 // there is no length. Without a limit, a target could send one until the deadline.
 func (x *exchange) discardBody(size int) error {
-	stream, limit := x.response.BodyStream(), int64(x.client.maxBuffered)
-	if stream == nil || size == 0 {
+	if x.response.BodyStream() == nil || size == 0 {
 		return nil
 	}
-	if n, err := io.Copy(io.Discard, io.LimitReader(stream, limit+1)); err != nil || n > limit {
+	limit := int64(x.client.maxBuffered)
+	if n, err := io.Copy(io.Discard, io.LimitReader(strict.Body{Response: x.response}, limit+1)); err != nil || n > limit {
 		return errors.Join(errors.New("a late response does not end"), err)
 	}
 	return nil
@@ -354,7 +354,7 @@
 	size := x.response.Header.ContentLength()
 	clean := x.response.BodyStream() == nil
 	if size >= 0 && size <= x.reader.Buffered() && !clean {
-		_, err := io.Copy(io.Discard, x.response.BodyStream())
+		_, err := io.Copy(io.Discard, strict.Body{Response: x.response})
 		clean = err == nil
 	}
 	return x.finish(clean)
--- a/exch/malformed_test.go
+++ b/exch/malformed_test.go
@@ -77,3 +77,39 @@
 		})
 	}
 }
+
+// TestMalformedTrailer guards against a response that is returned, or whose connection is kept,
+// although its trailers are none, and against announced trailers that are taken for received ones.
+func TestMalformedTrailer(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRequest: 1\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n"
+	for name, c := range map[string]struct {
+		text  string
+		valid bool
+	}{
+		"valid":         {head + "\r\n5\r\nproof\r\n0\r\nName: x\r\n\r\n", true},
+		"announced":     {head + "Trailer: Other\r\n\r\n5\r\nproof\r\n0\r\n\r\n", true},
+		"empty":         {head + "Trailer:\r\n\r\n5\r\nproof\r\n0\r\nName:\r\n\r\n", true},
+		"blank":         {head + "\r\n5\r\nproof\r\n0\r\nBad Name: x\r\n\r\n", false},
+		"control byte":  {head + "\r\n5\r\nproof\r\n0\r\nBad\x01Name: x\r\n\r\n", false},
+		"control value": {head + "\r\n5\r\nproof\r\n0\r\nName: \x01\r\n\r\n", false},
+		"late": {"HTTP/1.1 200 OK\r\nRequest: 0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nBad Name: x\r\n\r\n" +
+			head + "\r\n5\r\nproof\r\n0\r\n\r\n", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &scriptedTarget{script: func(nc net.Conn, _ int) { send(nc, c.text) }}
+				client := New(WithDial(s.dial), WithHeaders(platformHeaders))
+				out, _ := doOnce(t, client, "1", time.Second)
+				open, _ := client.Connections(target)
+				if c.valid {
+					test.Eq(t, Complete, out.Class)
+					test.Eq(t, 1, open)
+				} else {
+					test.Eq(t, Broken, out.Class)
+					test.Zero(t, open)
+				}
+				client.Close()
+			})
+		})
+	}
+}
--- a/strict/doc.go
+++ b/strict/doc.go
@@ -14,6 +14,8 @@
 //   - The head ends with CR LF CR LF. At an empty line without CR, fasthttp looks for
 //     the end of the head in the body.
 //
+// The names of trailers are tokens too.
+//
 // What the RFCs let a proxy mend or pass on is a response:
 //
 //   - several spaces in the status line, no reason phrase, a status without a name, such
@@ -31,4 +33,6 @@
 //	if err := strict.Read(reader, resp, 0); err != nil {
 //		_ = conn.Close() // what follows on the connection belongs to no request
 //	}
+//	...
+//	_, err := io.Copy(w, strict.Body{Response: resp})
 package strict
--- a/strict/read.go
+++ b/strict/read.go
@@ -15,7 +15,7 @@
 // Read reads a response into resp. It skips informational responses other than 101. It
 // replaces resp.ReadLimitBody and does the same with the body: it reads at most maxBody
 // bytes of it, or without a limit if maxBody is 0. With resp.StreamBody, the body is left
-// to resp.BodyStream; with resp.SkipBody, the response has none.
+// to a Body; with resp.SkipBody, the response has none.
 //
 // If the bytes are no response, the error is ErrMalformed. After any error, resp must not
 // be used and the connection must be closed.
@@ -35,6 +35,33 @@
 	} else if err != nil {
 		return err
 	}
+	return checkTrailers(&resp.Header)
+}
+
+// Body reads the body stream of a response that was read with StreamBody.
+type Body struct {
+	Response *fasthttp.Response
+}
+
+// Read implements io.Reader. It returns io.EOF only after a complete body whose trailers are
+// valid, otherwise ErrMalformed at its end.
+func (b Body) Read(p []byte) (int, error) {
+	n, err := b.Response.BodyStream().Read(p)
+	if errors.Is(err, io.EOF) {
+		if problem := checkTrailers(&b.Response.Header); problem != nil {
+			return n, problem
+		}
+	}
+	return n, err
+}
+
+// checkTrailers checks the names of the trailers that were received; fasthttp checked the rest.
+func checkTrailers(h *fasthttp.ResponseHeader) error {
+	for name := range h.Trailers() {
+		if !isToken(name) {
+			return malformed("%q is no name of a trailer", excerpt(name))
+		}
+	}
 	return nil
 }
 
@@ -56,6 +83,7 @@
 			return malformed("the end of the header is ambiguous")
 		}
 		if status := h.StatusCode(); status >= http.StatusOK || status == http.StatusSwitchingProtocols {
+			h.Del(fasthttp.HeaderTrailer) // leaves those that are received
 			return nil
 		}
 	}
--- a/strict/strict_test.go
+++ b/strict/strict_test.go
@@ -30,7 +30,7 @@
 	resp := newResponse()
 	if err := Read(bufio.NewReader(r), resp, 0); err != nil {
 		if !errors.Is(err, ErrMalformed) {
-			return "other error: " + err.Error()
+			return "the rest of the response cannot be read"
 		}
 		return err.Error()
 	}
