strict: chunks of another version than HTTP/1.1 are not returned as the body

A response of HTTP/1.0 or HTTP/1.2 with Transfer-Encoding: chunked reached callers with the chunk sizes in its body, or cut at a Content-Length beside it: fasthttp ignores the encoding then. RFC 9112, section 6.1, says that such a response is to be treated as wrongly framed. Change: strict refuses it.

--- a/exch/malformed_test.go
+++ b/exch/malformed_test.go
@@ -26,6 +26,8 @@
 	"control byte in reason":  "HTTP/1.1 200 O\x01K\r\n" + announcing + "Content-Length: 3\r\n\r\nbad",
 	"carriage return":         "HTTP/1.1 200 O\rK\r\n" + announcing + "Content-Length: 3\r\n\r\nbad",
 	"empty line first":        "\r\nHTTP/1.1 200 OK\r\n" + announcing + "Content-Length: 3\r\n\r\nbad",
+	"chunks of version 1.0":   "HTTP/1.0 200 OK\r\n" + announcing + "Transfer-Encoding: chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n",
+	"chunks of version 1.2":   "HTTP/1.2 200 OK\r\n" + announcing + "Transfer-Encoding: chunked\r\n\r\n3\r\nbad\r\n0\r\n\r\n",
 	"interim status 000":      "HTTP/1.1 000 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + announcing + "Content-Length: 3\r\n\r\nbad",
 	"control byte in interim": "HTTP/1.1 100 \x01\r\n\r\nHTTP/1.1 200 OK\r\n" + announcing + "Content-Length: 3\r\n\r\nbad",
 	"name with a blank":       "HTTP/1.1 200 OK\r\nBad Name: x\r\n" + announcing + "Content-Length: 3\r\n\r\nbad",
--- a/strict/doc.go
+++ b/strict/doc.go
@@ -11,6 +11,8 @@
 //     the line before. The name is a token: a proxy that reads "Content Length" as another
 //     header than its caller does would pass on a response that is not the sender's.
 //   - The reason phrase and the values hold no control character but the tab.
+//   - Only HTTP/1.1 has transfer encodings: with another version, fasthttp would take the
+//     chunks for the body itself (RFC 9112, section 6.1).
 //   - The head ends with CR LF CR LF. At an empty line without CR, fasthttp looks for
 //     the end of the head in the body.
 //
--- a/strict/head.go
+++ b/strict/head.go
@@ -18,8 +18,9 @@
 
 // head checks the lines of one response head as they arrive.
 type head struct {
-	size  int // bytes of the complete lines that were checked
-	lines int
+	size   int // bytes of the complete lines that were checked
+	lines  int
+	http11 bool // the version is 1.1, which has transfer encodings
 }
 
 // peekHead waits until the buffer of r holds a whole response head and returns the size
@@ -58,12 +59,13 @@
 			if err := checkStatusLine(line); err != nil {
 				return false, err
 			}
+			h.http11 = bytes.HasPrefix(line, []byte("HTTP/1.1 "))
 		case len(line) == 0 && !bytes.HasSuffix(data[:h.size], []byte("\r\n\r\n")):
 			return false, malformed("the header does not end with CR LF CR LF")
 		case len(line) == 0:
 			return true, nil
 		default:
-			if err := checkField(line, h.lines == 2); err != nil {
+			if err := h.checkField(line); err != nil {
 				return false, err
 			}
 		}
@@ -88,12 +90,16 @@
 
 // checkField checks one line of a header, without its end. A line that begins with a blank
 // continues the value of the line before; the first one has nothing to continue.
-func checkField(line []byte, first bool) error {
+func (h *head) checkField(line []byte) error {
 	value := line
-	if first || line[0] != ' ' && line[0] != '\t' {
+	if first := h.lines == 2; first || line[0] != ' ' && line[0] != '\t' {
 		name, rest, found := bytes.Cut(line, []byte(":"))
-		if !found || !isToken(bytes.TrimRight(name, " ")) {
+		name = bytes.TrimRight(name, " ")
+		switch {
+		case !found || !isToken(name):
 			return malformed("%q is no header line", excerpt(line))
+		case !h.http11 && bytes.EqualFold(name, []byte("Transfer-Encoding")):
+			return malformed("only HTTP/1.1 has transfer encodings")
 		}
 		value = rest
 	}
