exch: responses have the version of this host

A caller of the daemon got 'HTTP/1.0 200 ...' if the target said so, with the framing and the kept connection of HTTP/1.1. The header of a target's response was copied with its version. RFC 9112, section 2.3, lets a proxy send only its own. Change: exch sets HTTP/1.1. The entry host writes its own status line already.

--- a/exch/exchange.go
+++ b/exch/exchange.go
@@ -27,6 +27,9 @@
 // two late ones to earlier requests on the connection, and its own.
 const maxResponses = 3
 
+// http11 is the version of all responses, whatever the target's: a proxy sends its own.
+var http11 = []byte("HTTP/1.1")
+
 var (
 	readers   = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, bufferSize) }}
 	writers   = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, bufferSize) }}
@@ -65,7 +68,8 @@
 // body's Read or Close. The class it receives is Complete only if the complete body
 // was received.
 //
-// The header of resp is the target's, without its Connection: close.
+// The header of resp is the target's, without its Connection: close, and the version is
+// HTTP/1.1.
 func (c *Client) Stream(ctx context.Context, target *model.Target, req *fasthttp.Request, resp *fasthttp.Response, done func(Outcome)) Outcome {
 	return c.stream(ctx, target, req, resp, c.idleTimeout, done)
 }
@@ -203,6 +207,7 @@
 	x.readAnnouncements(h, shed)
 	h.CopyTo(&resp.Header)
 	resp.Header.ResetConnectionClose()
+	resp.Header.SetProtocol(http11)
 	x.out.Class = Complete
 	if shed {
 		return x.finishShed()
--- a/gate/malformed_test.go
+++ b/gate/malformed_test.go
@@ -66,7 +66,7 @@
 		"HTTP/1.1 200 OK\r\nName: a\tb\xe9\xff\r\n":       "Name: a\tb\xe9\xff\r\n",
 		"HTTP/1.1 200 OK\r\nName : x\r\n":                 "Name: x\r\n",
 		"HTTP/1.1 200 OK\r\nName: a\r\n\tb\r\n":           "Name: a b\r\n",
-		"HTTP/1.1 103 Hints\r\n\r\nHTTP/1.1 200 Fine\r\n": "HTTP/1.1 200 Fine\r\n",
+		"HTTP/1.1 103 Hints\r\n\r\nHTTP/1.0 200 Fine\r\n": "HTTP/1.1 200 Fine\r\n",
 		"HTTP/1.1  200   OK\nName: x\r\n":                 "Name: x\r\n",
 	} {
 		tg, _ := newCannedGate(t, head+"Content-Length: 5\r\n\r\nhello")
