--- a/canned/canned.go
+++ b/canned/canned.go
@@ -10,7 +10,7 @@
 //	... // send requests to s.Address()
 //
 // A server reads whole requests of HTTP/1.1, any number on one connection, and writes the
-// bytes for each of them.
+// bytes for each of them. ListenRaw leaves the connections to a function.
 package canned
 
 import (
@@ -25,9 +25,9 @@
 // Answer returns the bytes that are sent after a request, whose body was read.
 type Answer func(r *http.Request) string
 
-// Server answers each request with the bytes of its Answer.
+// Server serves the connections to a port of 127.0.0.1.
 type Server struct {
-	answer   Answer
+	serve    func(net.Conn)
 	listener net.Listener
 	running  sync.WaitGroup
 	requests atomic.Int64
@@ -38,15 +38,28 @@
 	conns    map[net.Conn]struct{}
 }
 
-// Listen starts a server on a free port of 127.0.0.1.
+// Listen starts a server that answers each request with the bytes of its Answer, on a free
+// port of 127.0.0.1.
 func Listen(answer Answer) (*Server, error) {
-	s := &Server{answer: answer, conns: make(map[net.Conn]struct{})}
+	s := new(Server)
+	s.serve = func(c net.Conn) { s.answerAll(c, answer) }
+	return s, s.listen()
+}
+
+// ListenRaw starts a server that calls serve for each connection and then closes it, on a free
+// port of 127.0.0.1. It counts no requests.
+func ListenRaw(serve func(net.Conn)) (*Server, error) {
+	s := &Server{serve: serve}
+	return s, s.listen()
+}
+
+func (s *Server) listen() error {
+	s.conns = make(map[net.Conn]struct{})
 	var err error
-	if s.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
-		return nil, err
+	if s.listener, err = net.Listen("tcp", "127.0.0.1:0"); err == nil {
+		s.running.Go(s.accept)
 	}
-	s.running.Go(s.accept)
-	return s, nil
+	return err
 }
 
 // Address returns the IP address and port of the server.
@@ -85,7 +98,7 @@
 			_ = c.Close()
 			return
 		}
-		s.running.Go(func() { s.serve(c) })
+		s.running.Go(func() { s.run(c) })
 	}
 }
 
@@ -100,14 +113,19 @@
 	return !s.closed
 }
 
-// serve answers the requests of a connection until the client closes it.
-func (s *Server) serve(c net.Conn) {
+// run serves a connection and closes it.
+func (s *Server) run(c net.Conn) {
 	defer func() {
 		_ = c.Close()
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
 	}()
+	s.serve(c)
+}
+
+// answerAll answers the requests of a connection until the client closes it.
+func (s *Server) answerAll(c net.Conn, answer Answer) {
 	in := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(in)
@@ -118,7 +136,7 @@
 			return
 		}
 		s.requests.Add(1)
-		if _, err := io.WriteString(c, s.answer(r)); err != nil {
+		if _, err := io.WriteString(c, answer(r)); err != nil {
 			return
 		}
 	}
--- a/flood/flood.go
+++ b/flood/flood.go
@@ -20,8 +20,9 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"time"
+
+	"rhubarbdrift.example/canned"
 )
 
 // Kind is the part of an answer that has no end.
@@ -126,15 +127,10 @@
 
 // Server answers each request with an answer without end.
 type Server struct {
-	kind     Kind
-	header   string
-	echo     []string
-	listener net.Listener
-	running  sync.WaitGroup
-
-	mu     sync.Mutex
-	closed bool
-	conns  map[net.Conn]struct{}
+	*canned.Server
+	kind   Kind
+	header string
+	echo   []string
 }
 
 // Option sets an optional property of a Server.
@@ -150,65 +146,17 @@
 
 // Listen starts a server on a free port of 127.0.0.1.
 func Listen(k Kind, options ...Option) (*Server, error) {
-	s := &Server{kind: k, conns: make(map[net.Conn]struct{})}
+	s := &Server{kind: k}
 	for _, o := range options {
 		o(s)
 	}
 	var err error
-	if s.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
-		return nil, err
-	}
-	s.running.Go(s.accept)
-	return s, nil
-}
-
-// Address returns the IP address and port of the server.
-func (s *Server) Address() string { return s.listener.Addr().String() }
-
-// Close closes the listener and all connections, and waits for their ends.
-func (s *Server) Close() {
-	_ = s.listener.Close()
-	s.mu.Lock()
-	s.closed = true
-	for c := range s.conns {
-		_ = c.Close()
-	}
-	s.mu.Unlock()
-	s.running.Wait()
-}
-
-func (s *Server) accept() {
-	for {
-		c, err := s.listener.Accept()
-		if err != nil {
-			return
-		}
-		if !s.track(c) {
-			_ = c.Close()
-			return
-		}
-		s.running.Go(func() { s.serve(c) })
-	}
-}
-
-// track registers a connection and reports whether the server is still open.
-func (s *Server) track(c net.Conn) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.closed {
-		s.conns[c] = struct{}{}
-	}
-	return !s.closed
+	s.Server, err = canned.ListenRaw(s.serve)
+	return s, err
 }
 
 // serve reads one request and answers it until the client closes the connection.
 func (s *Server) serve(c net.Conn) {
-	defer func() {
-		_ = c.Close()
-		s.mu.Lock()
-		delete(s.conns, c)
-		s.mu.Unlock()
-	}()
 	r, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
 		return
--- a/strict/doc.go
+++ b/strict/doc.go
@@ -1,16 +1,16 @@
-// Package strict reads HTTP/1.1 responses. It decides which bytes are a response:
-// fasthttp, which decodes them, also accepts some that RFC 9110 and RFC 9112 do not
-// allow, for example the status 000, which it returns as 200.
+// Package strict reads HTTP/1.1 responses and rejects invalid ones. The decoder, fasthttp,
+// accepts some that RFC 9110 and RFC 9112 do not allow. For example, it returns the status 000
+// as 200.
 //
-// The rules hold for every head, that of an informational response included:
+// These rules hold for the head of every response, informational ones included:
 //
 //   - The first line is a status line of HTTP/1.x with a status from 100 to 599.
 //     A response with another status may be treated as a server error (RFC 9110,
-//     section 15), but nothing else in it can be trusted then.
+//     section 15), but it is unlikely that the rest of it is right.
 //   - Each line of the header is a name, a colon and a value, or continues the value of
-//     the line before. The name is a token: a proxy that reads "Content Length" as another
-//     header than its caller does would pass on a response that is not the sender's.
-//   - The reason phrase and the values hold no control character but the tab.
+//     the line before. The name is a token. If one client reads "Content Length" as a
+//     length and another one does not, they see different responses.
+//   - The reason phrase and the values contain no control characters except tabs.
 //   - Only HTTP/1.1 has transfer encodings: with another version, fasthttp would take the
 //     chunks for the body itself (RFC 9112, section 6.1).
 //   - The head ends with CR LF CR LF. At an empty line without CR, fasthttp looks for
@@ -18,7 +18,7 @@
 //
 // The names of trailers are tokens too.
 //
-// What the RFCs let a proxy mend or pass on is a response:
+// Responses that the RFCs let a proxy correct or forward are accepted:
 //
 //   - several spaces in the status line, no reason phrase, a status without a name, such
 //     as 299 or 499 (RFC 9112, section 4; RFC 9110, section 15)
@@ -27,7 +27,7 @@
 //   - values on several lines, which fasthttp joins (RFC 9112, section 5.2)
 //   - tabs, and bytes of 128 and more, in values (RFC 9110, section 5.5)
 //
-// A head is refused at its first line that breaks a rule, without waiting for its end.
+// A head is rejected at its first invalid line, without waiting for its end.
 //
 // # Usage
 //
--- a/strict/head.go
+++ b/strict/head.go
@@ -8,7 +8,7 @@
 	"io"
 )
 
-// ErrMalformed is the cause of all errors for bytes that are no HTTP/1.1 response.
+// ErrMalformed is the cause of all errors for bytes that are not a valid HTTP/1.1 response.
 var ErrMalformed = errors.New("malformed response")
 
 // malformed returns an error with the cause ErrMalformed and a reason.
@@ -24,7 +24,7 @@
 }
 
 // peekHead waits until the buffer of r holds a whole response head and returns the size
-// in bytes, with the empty line at the end. It consumes nothing. The error is ErrMalformed
+// in bytes, including the empty line at its end. It consumes nothing. The error is ErrMalformed
 // as soon as a line breaks the rules, bufio.ErrBufferFull if the head does not fit into the
 // buffer, and otherwise that of the connection.
 func peekHead(r *bufio.Reader) (size int, err error) {
@@ -76,7 +76,7 @@
 func checkStatusLine(line []byte) error {
 	version, rest, found := bytes.Cut(line, []byte(" "))
 	if !found || len(version) != len("HTTP/1.1") || !bytes.HasPrefix(version, []byte("HTTP/1.")) || !isDigit(version[7]) {
-		return malformed("%q is no status line of HTTP/1", excerpt(line))
+		return malformed("%q is not an HTTP/1 status line", excerpt(line))
 	}
 	status, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	if len(status) != 3 || status[0] < '1' || status[0] > '5' || !isDigit(status[1]) || !isDigit(status[2]) {
@@ -97,7 +97,7 @@
 		name = bytes.TrimRight(name, " ")
 		switch {
 		case !found || !isToken(name):
-			return malformed("%q is no header line", excerpt(line))
+			return malformed("%q is not a header line", excerpt(line))
 		case !h.http11 && bytes.EqualFold(name, []byte("Transfer-Encoding")):
 			return malformed("only HTTP/1.1 has transfer encodings")
 		}
--- a/strict/heads_test.go
+++ b/strict/heads_test.go
@@ -9,8 +9,9 @@
 	"github.com/shoenig/test/must"
 )
 
-// readHeads returns the responses of the golden file, which stand quoted on lines of their
-// own, each followed by an indented verdict, and the path of the file.
+// readHeads returns the responses of the golden file, which are quoted, each on a line of its
+// own before its indented verdict, and the path of the file. New ones are added without a
+// verdict, which go test -update writes.
 func readHeads(t testing.TB) (input []string, path string) {
 	t.Helper()
 	path = "testdata/heads.golden"
--- a/strict/read.go
+++ b/strict/read.go
@@ -17,8 +17,8 @@
 // bytes of it, or without a limit if maxBody is 0. With resp.StreamBody, the body is left
 // to a Body; with resp.SkipBody, the response has none.
 //
-// If the bytes are no response, the error is ErrMalformed. After any error, resp must not
-// be used and the connection must be closed.
+// If the bytes are not a valid response, the error is ErrMalformed. After any error, resp must
+// not be used and the connection must be closed.
 func Read(r *bufio.Reader, resp *fasthttp.Response, maxBody int) error {
 	resp.ResetBody()
 	if err := readHeader(r, &resp.Header); err != nil {
@@ -48,8 +48,8 @@
 func (b Body) Read(p []byte) (int, error) {
 	n, err := b.Response.BodyStream().Read(p)
 	if errors.Is(err, io.EOF) {
-		if problem := checkTrailers(&b.Response.Header); problem != nil {
-			return n, problem
+		if invalid := checkTrailers(&b.Response.Header); invalid != nil {
+			return n, invalid
 		}
 	}
 	return n, err
@@ -59,7 +59,7 @@
 func checkTrailers(h *fasthttp.ResponseHeader) error {
 	for name := range h.Trailers() {
 		if !isToken(name) {
-			return malformed("%q is no name of a trailer", excerpt(name))
+			return malformed("%q is not the name of a trailer", excerpt(name))
 		}
 	}
 	return nil
@@ -83,7 +83,7 @@
 			return malformed("the end of the header is ambiguous")
 		}
 		if status := h.StatusCode(); status >= http.StatusOK || status == http.StatusSwitchingProtocols {
-			h.Del(fasthttp.HeaderTrailer) // leaves those that are received
+			h.Del(fasthttp.HeaderTrailer) // announced names would count as received ones
 			return nil
 		}
 	}
--- a/strict/strict_test.go
+++ b/strict/strict_test.go
@@ -42,9 +42,9 @@
 	return fmt.Sprintf("%s body=%q", b.String(), resp.Body())
 }
 
-// TestHeads guards against heads that are no HTTP/1.1 response but are accepted, and against
-// unusual ones that are refused. Each verdict stands in the golden file. It must not depend on
-// how the bytes arrive.
+// TestHeads guards against invalid responses that are accepted, and against unusual ones that
+// are rejected. The verdicts, which must not depend on how the bytes arrive, are in the golden
+// file.
 func TestHeads(t *testing.T) {
 	input, want := readHeads(t)
 	var got strings.Builder
@@ -86,7 +86,7 @@
 	}
 }
 
-// FuzzRead guards against a response that is accepted although its status is not one.
+// FuzzRead guards against accepted responses with an invalid status or an invalid name.
 func FuzzRead(f *testing.F) {
 	input, _ := readHeads(f)
 	for _, text := range input {
@@ -98,5 +98,9 @@
 			return
 		}
 		test.Between(t, 100, resp.StatusCode(), 599)
+		for name, value := range resp.Header.All() {
+			test.True(t, isToken(name), test.Sprintf("%q", name))
+			test.True(t, isText(value), test.Sprintf("%q: %q", name, value))
+		}
 	})
 }
--- a/strict/transport.go
+++ b/strict/transport.go
@@ -6,9 +6,9 @@
 	"github.com/valyala/fasthttp"
 )
 
-// Transport makes a fasthttp client read responses with Read. It sends each request once,
-// and closes the connection after any failure. It reads whole bodies: StreamBody of a
-// response has no effect.
+// Transport makes a fasthttp client read responses with Read. It sends each request once, with
+// the timeout of the request, and closes the connection after any failure. It reads whole
+// bodies: StreamBody of a response has no effect.
 type Transport struct{}
 
 var _ fasthttp.RoundTripper = Transport{}
--- a/wire/malformed_test.go
+++ b/wire/malformed_test.go
@@ -15,12 +15,12 @@
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
 
+	"rhubarbdrift.example/canned"
 	"rhubarbdrift.example/fault"
 )
 
 // servePeer answers the calls of one connection with a message and the header.
 func servePeer(nc net.Conn, header []hpack.HeaderField) {
-	defer func() { _ = nc.Close() }()
 	if _, err := io.CopyN(io.Discard, nc, int64(len(http2.ClientPreface))); err != nil {
 		return
 	}
@@ -63,24 +63,14 @@
 // callPeer calls a peer that answers with the header.
 func callPeer(t *testing.T, header ...hpack.HeaderField) (*testMessage, error) {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := canned.ListenRaw(func(nc net.Conn) { servePeer(nc, header) })
 	must.NoError(t, err)
-	served := make(chan struct{})
-	go func() {
-		defer close(served)
-		if nc, err := ln.Accept(); err == nil {
-			servePeer(nc, header)
-		}
-	}()
-	defer func() {
-		must.NoError(t, ln.Close())
-		<-served
-	}()
+	defer s.Close()
 	pool := NewPool()
 	defer pool.Close()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	return Call[testMessage, testMessage](ctx, pool.Client(ln.Addr().String()), "echo", &testMessage{Text: "question"})
+	return Call[testMessage, testMessage](ctx, pool.Client(s.Address()), "echo", &testMessage{Text: "question"})
 }
 
 // TestMalformed guards against headers that HTTP/2 does not allow but that belong to an answer
