strict: errors quote no values and no foreign bytes

Cause: the errors go to the log. A header line may hold a secret, and a first line that is not a status line may belong to the body of another response. Result: strict's golden file; strict, exch, eject, store and cmds pass.

--- a/exch/exchange.go
+++ b/exch/exchange.go
@@ -389,7 +389,7 @@
 		x.out.Err = fault.Wrap(fault.KindUnavailable, err, "no byte was sent to target "+address, "send the request again")
 	case errors.Is(err, strict.ErrMalformed):
 		x.out.Class = Broken
-		x.out.Err = fault.Wrap(fault.KindUnknown, err, "target "+address+" sent a malformed response", "check the target; ask for the state before sending the request again")
+		x.out.Err = fault.Wrap(fault.KindUnknown, err, "the response of target "+address+" cannot be used", "check the target; ask for the state before sending the request again")
 	case x.conn.bytesRead > 0:
 		x.out.Class = Broken
 		x.out.Stalled = isTimeout(err)
--- a/strict/head.go
+++ b/strict/head.go
@@ -72,39 +72,44 @@
 	}
 }
 
-// checkStatusLine checks the first line of a head, without its end.
+// checkStatusLine checks the first line of a head, without its end. The errors don't quote the
+// line, which may belong to the body of another response.
 func checkStatusLine(line []byte) error {
 	version, rest, found := bytes.Cut(line, []byte(" "))
 	if !found || len(version) != len("HTTP/1.1") || !bytes.HasPrefix(version, []byte("HTTP/1.")) || !isDigit(version[7]) {
-		return malformed("%q is not an HTTP/1 status line", excerpt(line))
+		return malformed("the first line is not an HTTP/1 status line")
 	}
 	status, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	if len(status) != 3 || status[0] < '1' || status[0] > '5' || !isDigit(status[1]) || !isDigit(status[2]) {
 		return malformed("status %q is not between 100 and 599", excerpt(status))
 	}
 	if !isText(reason) {
-		return malformed("the reason phrase %q contains a control character", excerpt(reason))
+		return malformed("the reason phrase contains a control character")
 	}
 	return nil
 }
 
 // checkField checks one line of a header, without its end. A line that begins with a blank
-// continues the value of the line before; the first one has nothing to continue.
+// continues the value of the line before; the first one has nothing to continue. The errors
+// don't quote values, which may be secret.
 func (h *head) checkField(line []byte) error {
-	value := line
-	if first := h.lines == 2; first || line[0] != ' ' && line[0] != '\t' {
-		name, rest, found := bytes.Cut(line, []byte(":"))
-		name = bytes.TrimRight(name, " ")
-		switch {
-		case !found || !isToken(name):
-			return malformed("%q is not a header line", excerpt(line))
-		case !h.http11 && bytes.EqualFold(name, []byte("Transfer-Encoding")):
-			return malformed("only HTTP/1.1 has transfer encodings")
+	if h.lines > 2 && (line[0] == ' ' || line[0] == '\t') {
+		if !isText(line) {
+			return malformed("a continued header value contains a control character")
 		}
-		value = rest
+		return nil
 	}
-	if !isText(value) {
-		return malformed("the value in the header line %q contains a control character", excerpt(line))
+	name, value, found := bytes.Cut(line, []byte(":"))
+	name = bytes.TrimRight(name, " ")
+	switch {
+	case !found:
+		return malformed("a header line has no colon")
+	case !isToken(name):
+		return malformed("%q is not the name of a header", excerpt(name))
+	case !h.http11 && bytes.EqualFold(name, []byte("Transfer-Encoding")):
+		return malformed("only HTTP/1.1 has transfer encodings")
+	case !isText(value):
+		return malformed("the value of the header %q contains a control character", excerpt(name))
 	}
 	return nil
 }
