--- a/mesh/run.go
+++ b/mesh/run.go
@@ -110,13 +110,17 @@
 	}
 }
 
+// transport sends a message to a host and returns its answer.
+type transport func(ctx context.Context, to Host, m *Message) (*Message, error)
+
 // Runner selects the node's parent and exchanges messages with it.
 type Runner struct {
-	node  *Node
-	lists *RelayedLists
-	pool  *wire.ClientPool
-	hosts func() []Host
-	log   zerolog.Logger
+	node    *Node
+	lists   *RelayedLists
+	send    transport
+	refuses func(ctx context.Context, address string) bool // reports whether connections are refused
+	hosts   func() []Host
+	log     zerolog.Logger
 
 	parentsFrom []Host // the list of hosts that parents was computed from
 	parents     []Host // possible parents, the best first
@@ -143,7 +147,10 @@
 // NewRunner returns a runner. The function hosts returns the known daemons, or
 // none before their list was read; it is called before every message.
 func NewRunner(n *Node, l *RelayedLists, p *wire.ClientPool, hosts func() []Host, options ...Option) *Runner {
-	r := &Runner{node: n, lists: l, pool: p, hosts: hosts, log: zerolog.Nop(), backoffs: make(map[model.HostID]backoff)}
+	r := &Runner{node: n, lists: l, hosts: hosts, refuses: refusesConnection, log: zerolog.Nop(), backoffs: make(map[model.HostID]backoff)}
+	r.send = func(ctx context.Context, to Host, m *Message) (*Message, error) {
+		return wire.Call[Message, Message](ctx, p.Client(to.Address), method, m)
+	}
 	for _, o := range options {
 		o(r)
 	}
@@ -225,7 +232,7 @@
 		out.Updates, out.EchoedVersions, out.AnsweredAt = r.lists.offer(r.answer), r.answer.Versions, r.answer.AnsweredAt
 		out.EchoedIncarnation = r.answer.Incarnation
 	}
-	answer, err := wire.Call[Message, Message](ctx, r.pool.Client(h.Address), method, out)
+	answer, err := r.send(ctx, h, out)
 	if err != nil {
 		// The message is not sent again, because the host may have processed it.
 		r.node.RemoveLink(h.ID)
@@ -289,7 +296,7 @@
 			continue
 		}
 		wait.Go(func() {
-			if refusesConnection(ctx, h.Address) {
+			if r.refuses(ctx, h.Address) {
 				stopped.Add(1)
 			}
 		})
