strict: a part of a response is not complete after a failed write of the request

Callers got 'part' with status 200 as a complete answer, from a target that answers a long upload with a response without a length and resets the connection.

Cause: the system reports a reset once. The write of the request met it, and the read after it found the data and then a clean end. Body, which alone decides when a response that ends with its connection is complete, did not know of the write.

Body now has the error of the write and returns ErrCutOff instead of the end. The store's client and the commands read only after a complete write (Transport). The request bodies of callers are always framed.

--- a/exch/body.go
+++ b/exch/body.go
@@ -3,8 +3,6 @@
 import (
 	"errors"
 	"io"
-
-	"rhubarbdrift.example/strict"
 )
 
 // errAbandoned is the cause of an exchange whose response body was closed before
@@ -30,7 +28,7 @@
 	if x.reader == nil {
 		return 0, io.ErrClosedPipe
 	}
-	n, err := strict.Body{Response: x.response}.Read(p)
+	n, err := x.responseBody().Read(p)
 	b.size += int64(n)
 	if err == nil && b.buffered && x.consumed()-b.begin-b.size > b.size+maxFraming {
 		err = errFraming
--- a/exch/exchange.go
+++ b/exch/exchange.go
@@ -244,6 +244,11 @@
 	return errors.New("the response names another request")
 }
 
+// responseBody returns the reader of the response's body.
+func (x *exchange) responseBody() strict.Body {
+	return strict.Body{Response: x.response, SendErr: x.writeErr}
+}
+
 // discardBody reads the body of a late response of a size, which may be negative if
 // there is no length. Without a limit, a target could send one until the deadline.
 func (x *exchange) discardBody(size int) error {
@@ -251,7 +256,7 @@
 		return nil
 	}
 	limit := int64(x.client.maxBuffered)
-	if n, err := io.Copy(io.Discard, io.LimitReader(strict.Body{Response: x.response}, limit+1)); err != nil || n > limit {
+	if n, err := io.Copy(io.Discard, io.LimitReader(x.responseBody(), limit+1)); err != nil || n > limit {
 		return errors.Join(errors.New("a late response does not end"), err)
 	}
 	return nil
@@ -359,7 +364,7 @@
 	size := x.response.Header.ContentLength()
 	clean := x.response.BodyStream() == nil
 	if size >= 0 && size <= x.reader.Buffered() && !clean {
-		_, err := io.Copy(io.Discard, strict.Body{Response: x.response})
+		_, err := io.Copy(io.Discard, x.responseBody())
 		clean = err == nil
 	}
 	return x.finish(clean)
--- a/strict/doc.go
+++ b/strict/doc.go
@@ -27,6 +27,9 @@
 //   - values on several lines, which fasthttp joins (RFC 9112, section 5.2)
 //   - tabs, and bytes of 128 and more, in values (RFC 9110, section 5.5)
 //
+// A response without a length or chunks ends with its connection. It is complete only if the
+// request was written completely; see Body.
+//
 // A head is rejected at its first invalid line, without waiting for its end.
 //
 // # Usage
--- a/strict/read.go
+++ b/strict/read.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 
@@ -15,7 +16,8 @@
 // Read reads a response into resp. It skips informational responses other than 101. It
 // replaces resp.ReadLimitBody and does the same with the body: it reads at most maxBody
 // bytes of it, or without a limit if maxBody is 0. With resp.StreamBody, the body is left
-// to a Body; with resp.SkipBody, the response has none.
+// to a Body; with resp.SkipBody, the response has none. Without StreamBody, the request must have
+// been written completely; see Body.
 //
 // If the bytes are not a valid response, the error is ErrMalformed. After any error, resp must
 // not be used and the connection must be closed.
@@ -38,16 +40,29 @@
 	return checkTrailers(&resp.Header)
 }
 
+// ErrCutOff is the cause of the error for a response without a length or chunks that ends with a
+// connection to which the request was not written completely.
+var ErrCutOff = errors.New("the connection ended before the request was written")
+
 // Body reads the body stream of a response that was read with StreamBody.
 type Body struct {
 	Response *fasthttp.Response
+	// SendErr is why the request was not written completely; nil: it was.
+	SendErr error
 }
 
 // Read implements io.Reader. It returns io.EOF only after a complete body whose trailers are
 // valid. If the name of one is not a token, the error is ErrMalformed.
+//
+// A response that ends with its connection is complete if the connection was closed. After
+// a failed write of the request, that cannot be told from a reset: the system reports a reset
+// once, to the write, and then the end of the data.
 func (b Body) Read(p []byte) (int, error) {
 	n, err := b.Response.BodyStream().Read(p)
 	if errors.Is(err, io.EOF) {
+		if b.SendErr != nil && endsWithConnection(b.Response) {
+			return n, fmt.Errorf("%w: %w", ErrCutOff, b.SendErr)
+		}
 		if invalid := checkTrailers(&b.Response.Header); invalid != nil {
 			return n, invalid
 		}
@@ -55,6 +70,9 @@
 	return n, err
 }
 
+// endsWithConnection reports whether a response with a body has neither a length nor chunks.
+func endsWithConnection(resp *fasthttp.Response) bool { return resp.Header.ContentLength() < -1 }
+
 // checkTrailers checks the names of the trailers that were received; fasthttp checked the rest.
 func checkTrailers(h *fasthttp.ResponseHeader) error {
 	for name := range h.Trailers() {
