exch: an answer that comes before the upload was read is not lost

A target that refuses a long upload before it has read it (413 with a length, the connection left open) answered nobody: the client wrote until its deadline and read only then.

A request that may not fit into the buffers is written while the response is read. The rest is not sent after a failure, and the connection is not used again; after a success the upload goes on as before. TestEarlyAnswer: 'silent' in three of four cases before, passes.

--- a/exch/exchange.go
+++ b/exch/exchange.go
@@ -47,6 +47,7 @@
 	start     time.Time
 	deadline  time.Time     // deadline of the response header
 	writeErr  error         // cause of an incomplete request write
+	upload    *upload       // the write of the request if it goes on while the response is read; nil: it has ended
 	maxIdle   time.Duration // maximum idle time of a reused connection
 	unread    time.Duration // time for which the response waited for room
 	out       Outcome
@@ -97,7 +98,12 @@
 		req.Header.SetHost(target.Address)
 	}
 	x.closeOnCancel()
-	if err := x.send(req); err != nil {
+	if err := x.conn.SetDeadline(x.deadline); err != nil {
+		return x.fail(err)
+	}
+	if isLong(req) {
+		x.startUpload(req)
+	} else if err := x.send(req); err != nil {
 		return x.fail(err)
 	}
 	return x.receive(req, resp)
@@ -165,9 +171,6 @@
 // send writes the request. If the target closed the connection after the first
 // byte, it is not an error yet, because a response may have been sent before.
 func (x *exchange) send(req *fasthttp.Request) error {
-	if err := x.conn.SetDeadline(x.deadline); err != nil {
-		return err
-	}
 	w := writers.Get().(*bufio.Writer)
 	w.Reset(x.conn)
 	err := req.Write(w)
@@ -191,7 +194,11 @@
 	x.response.Header.SetNoDefaultContentType(true)
 	x.response.StreamBody = true
 	x.response.SkipBody = req.Header.IsHead()
-	if err := x.readHeader(req); err != nil {
+	err := x.readHeader(req)
+	if uploadErr := x.endUpload(err); uploadErr != nil {
+		return x.fail(uploadErr)
+	}
+	if err != nil {
 		return x.fail(errors.Join(x.writeErr, err))
 	}
 	x.out.HeaderLatency = time.Since(x.start)
