proxy, entry: a host refuses requests while a newer configuration is due

A host whose proof was older than the configuration's bound served on, though its neighbours had a newer one: readiness and keys had bounds of their own.

With timers.bounds.configApply in the settings, a host that knows of a newer configuration and whose last proof is older than the bound answers 503 as not run, and is not ready. The newer one was acknowledged after that proof, so nothing is refused before it is due. While nobody has a newer one, as when the store is away, hosts serve on.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -163,6 +163,7 @@
 		Snapshot:          e.holder.Current,
 		ConfigAge:         e.config.Age,
 		MaxKeyAge:         s.KeyRevocationLimit - keyMargin,
+		ConfigOutdated:    e.configOutdated,
 		Limiter:           guardedLimits{Set: e.limits, pauses: e.pauses},
 		Balancer:          e.balancer,
 		Exchange:          e.exchange,
@@ -174,6 +175,11 @@
 	}, proxy.WithLog(e.log), proxy.WithMeter(e.meter.Scope()))
 }
 
+// configOutdated reports whether a newer configuration should be in force here.
+func (e *Entry) configOutdated() bool {
+	return e.settings.ConfigBound > 0 && e.config.Outdated(e.settings.ConfigBound)
+}
+
 // client returns a client of the store that lets it hold a watch for up to wait.
 func (e *Entry) client(wait time.Duration) *store.Client {
 	return store.NewClient("http://"+e.settings.StoreAddress, store.WithDialect(e.adapter.Dialect()),
@@ -190,7 +196,7 @@
 func (e *Entry) provideServices() error {
 	pool := wire.NewPool()
 	peers := wire.NewServer(wire.WithLog(e.log))
-	relayedLists := &mesh.RelayedLists{Clock: clock.SinceBoot, All: []mesh.List{e.config, e.targets}}
+	relayedLists := &mesh.RelayedLists{Clock: clock.SinceBoot, All: []mesh.List{e.config, e.targets}, Log: e.log, Scope: e.meter.Scope()}
 	if e.evacuations != nil {
 		relayedLists.All = append(relayedLists.All, e.evacuations)
 	}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -29,6 +29,10 @@
 	// RegionOfDomain maps each failure domain to its region.
 	RegionOfDomain map[model.Domain]model.Region
 
+	// ConfigBound is the time after which an acknowledged configuration must be in force.
+	// A host that knows of a newer one which is due refuses requests; 0: it serves them.
+	ConfigBound time.Duration
+
 	KeyRevocationLimit time.Duration // longest time for which a withdrawn key may still work
 	Grace              time.Duration // time from a planned stop's signal until the process is killed
 	RetryRatio         float64       // retries for each request to a pool
@@ -106,6 +110,9 @@
 	if !(s.FloorShare >= 0 && s.FloorShare <= 1) {
 		return fault.Invalid("bounds", fmt.Sprintf("the share %v of targets that stay in use is not from 0 to 1", s.FloorShare), "set it to a value from 0 to 1, or leave it out")
 	}
+	if s.ConfigBound < 0 {
+		return fault.Invalid("bounds", "the time for a configuration is negative", "set it to more than 0, or leave it out")
+	}
 	if s.EvacuationBound < 0 {
 		return fault.Invalid("bounds", "the time for an evacuation is negative", "set it to more than 0, or leave it out")
 	}
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -48,7 +48,7 @@
 // isReady reports whether the load balancer should send callers to this host, and logs
 // each change.
 func (e *Entry) isReady() bool {
-	ready := !e.stopping.Load() && e.holder.Current() != nil && e.shareKnown.Load() && e.balancer.Evacuation().Known && len(e.targets.Set()) > 0 && e.config.Age() < unreadyAge
+	ready := !e.stopping.Load() && e.holder.Current() != nil && e.shareKnown.Load() && e.balancer.Evacuation().Known && len(e.targets.Set()) > 0 && e.config.Age() < unreadyAge && !e.configOutdated()
 	if e.wasReady.Swap(ready) != ready {
 		e.log.Info().Bool("ready", ready).Bool("stopping", e.stopping.Load()).Dur("age", e.config.Age()).
 			Int("pools", len(e.targets.Set())).Msg("readiness changed")
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -93,6 +93,9 @@
 	if c.snapshot == nil {
 		return refusal(refuse.New(refuse.KindStale, refuse.NotRun, "this daemon has no configuration yet", "retry"), shortRetryDelay)
 	}
+	if outdated := c.proxy.deps.ConfigOutdated; outdated != nil && outdated() {
+		return refusal(refuse.New(refuse.KindStale, refuse.NotRun, "a newer configuration is due on this daemon", "retry, which may reach another daemon"), shortRetryDelay)
+	}
 	if c.id == "" {
 		return refusal(refuse.New(refuse.KindBad, refuse.NotRun, "the request has no "+c.proxy.deps.Protocol.Request, "send an id"), 0)
 	}
--- a/proxy/proxy.go
+++ b/proxy/proxy.go
@@ -62,9 +62,11 @@
 	ConfigAge func() time.Duration
 	// MaxKeyAge is the age of the configuration above which keys are not accepted.
 	MaxKeyAge time.Duration
-	Limiter   Limiter
-	Balancer  *place.Balancer
-	Exchange  Exchanger
+	// ConfigOutdated reports whether a newer configuration should be in force here; nil: never.
+	ConfigOutdated func() bool
+	Limiter        Limiter
+	Balancer       *place.Balancer
+	Exchange       Exchanger
 	// Hedges decides on hedged requests; nil: they are sent at slowShare of the objective,
 	// within the retry budget.
 	Hedges *hedge.Set
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -90,7 +90,8 @@
 	targetScript *targetScript
 	age          atomic.Int64
 	holder       *conf.Holder
-	closed       bool // further configurations close the open route
+	outdated     atomic.Bool // a newer configuration is due
+	closed       bool        // further configurations close the open route
 	url          string
 	proxy        *Proxy
 	atTargets    atomic.Int32 // requests that were reported as sent and not as ended
@@ -120,7 +121,7 @@
 	tp.install(1, "key")
 	p := New(Dependencies{
 		Protocol: protocol, Snapshot: tp.holder.Current, MaxKeyAge: 4 * time.Second,
-		ConfigAge: func() time.Duration { return time.Duration(tp.age.Load()) }, Limiter: unlimited{}, Balancer: balancer,
+		ConfigAge: func() time.Duration { return time.Duration(tp.age.Load()) }, ConfigOutdated: tp.outdated.Load, Limiter: unlimited{}, Balancer: balancer,
 		Exchange:          exch.New(exch.WithHeaders(exch.Headers{Deadline: "Deadline", Expect: "Expect", Shed: "Shed", ShedAnyStatus: true, Request: "Request", Signature: "Signature"})),
 		ReportObservation: func(model.TargetID, health.Observation, float64) {},
 		ReportRequests:    func(_ model.TargetID, sent, ended uint32) { tp.atTargets.Add(int32(sent) - int32(ended)) },
@@ -238,6 +239,23 @@
 	test.Eq(t, 200, status("/safe/", "new"))
 }
 
+// TestOutdatedConfig guards against a request that is served by an older configuration than the
+// one that is due.
+func TestOutdatedConfig(t *testing.T) {
+	tp := newTestProxy(t, okResponse)
+	for _, path := range []string{"/safe/", "/once/", "/open/", "/nowhere/"} {
+		tp.outdated.Store(true)
+		status, body, headers := tp.send(t.Context(), t, path, "key")
+		test.EqOp(t, 503, status, test.Sprint(path))
+		test.NotEq(t, "", headers.Get("Retry-After"), test.Sprint(path))
+		test.StrContains(t, body, "not-run", test.Sprint(path))
+		tp.outdated.Store(false)
+		status, _, _ = tp.send(t.Context(), t, path, "key")
+		test.NotEq(t, 503, status, test.Sprint(path))
+	}
+	test.EqOp(t, 3, tp.targetScript.requests.Load())
+}
+
 // TestOpenRouteKeys guards against a request on an open route that reaches a target in the
 // name of the former holder of its key: while the configuration may be old, and after the
 // key changed hands while the body arrived.
