--- a/mesh/content.go
+++ b/mesh/content.go
@@ -51,10 +51,12 @@
 // compress compresses a text. What it has in common with base takes nearly no space. It returns
 // nothing if it fails.
 func compress(text, base []byte) []byte {
-	options := []zstd.EOption{zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true), zstd.WithEncoderLevel(zstd.SpeedDefault),
-		zstd.WithWindowSize(windowFor(len(base) + len(text)))}
-	if base != nil {
-		options = append(options, zstd.WithEncoderDictRaw(dictionaryID, base))
+	options := []zstd.EOption{zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true), zstd.WithWindowSize(windowFor(len(base) + len(text)))}
+	if base == nil {
+		options = append(options, zstd.WithEncoderLevel(zstd.SpeedFastest))
+	} else {
+		// The table of SpeedFastest is too small for a large dictionary.
+		options = append(options, zstd.WithEncoderLevel(zstd.SpeedDefault), zstd.WithEncoderDictRaw(dictionaryID, base))
 	}
 	e, err := zstd.NewWriter(nil, options...)
 	if err != nil {
--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -19,6 +19,10 @@
 // never compared. Only the first host of the first region reads from the store
 // at all times.
 //
+// A large update is packed once and sent in pieces, each of which continues what the
+// receiver has, whichever host sends it. So neither a timeout nor a lost parent begins a
+// transfer again, and the time of one exchange does not depend on the size of the update.
+//
 // # Usage
 //
 //	node := mesh.NewNode(self, time.Now, func(s *mesh.Sum) { ... })
--- a/mesh/piece.go
+++ b/mesh/piece.go
@@ -102,7 +102,7 @@
 // ReceivingList is a list that learns when a piece of an update has arrived.
 type ReceivingList interface {
 	List
-	Receiving(from model.HostID)
+	Receiving()
 }
 
 // pack is a packed update.
--- a/mesh/relay.go
+++ b/mesh/relay.go
@@ -130,7 +130,7 @@
 	l.received.Inc(int64(len(p.Data)))
 	events, ok := l.transfers[i].receive(u, known, at)
 	if list, receives := l.All[i].(ReceivingList); receives && !ok {
-		list.Receiving(from)
+		list.Receiving()
 	}
 	if !ok {
 		return false
--- a/mesh/run.go
+++ b/mesh/run.go
@@ -28,6 +28,8 @@
 	// domain and which forwards the reports of its whole domain.
 	interval     = 80 * time.Millisecond
 	headInterval = 40 * time.Millisecond
+	// pieceInterval is the shortest time between two pieces of an update.
+	pieceInterval = 5 * time.Millisecond
 	// startInterval is the poll interval at start, until the list of hosts is
 	// available.
 	startInterval = 20 * time.Millisecond
@@ -195,7 +197,7 @@
 func (r *Runner) nextInterval(hosts []Host) time.Duration {
 	switch {
 	case r.more:
-		return r.elapsed / 2
+		return max(pieceInterval, r.elapsed/4)
 	case len(hosts) == 0:
 		return startInterval
 	case domainOf(r.parent) != domainOf(r.node.self):
@@ -232,7 +234,8 @@
 }
 
 // exchange sends a message to the best parent that answers and makes it the
-// parent. Without an answer there is none.
+// parent. Without an answer there is none. A host that does not answer is no candidate
+// for a time, so each is tried once.
 func (r *Runner) exchange(ctx context.Context, hosts []Host) {
 	for ctx.Err() == nil {
 		parents := r.candidates(hosts)
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -31,7 +31,7 @@
 	// see retryPause: at the store's return, those that call get the whole change at once.
 	minOtherRetry = 600 * time.Millisecond
 	maxOtherRetry = 2400 * time.Millisecond
-	// retryRanks is the number of ranks that call as often as those before them together.
+	// retryRanks is the rank from which the pause is at least twice as long.
 	retryRanks = 8
 )
 
@@ -258,7 +258,7 @@
 }
 
 // Receiving implements mesh.ReceivingList.
-func (f *follower) Receiving(model.HostID) { f.lastPiece.Store(int64(f.sinceBoot())) }
+func (f *follower) Receiving() { f.lastPiece.Store(int64(f.sinceBoot())) }
 
 // fallbackPause returns the pause before the first call after relays have ended.
 func (f *follower) fallbackPause() time.Duration {
