mesh: a transfer goes on when the sender has no update of its own any more

A configuration that a neighbour may not be able to read is offered once a second, so it would have arrived one piece a second: after a restored store, a large one would take six seconds. A begun transfer now goes on, marked as without proof. TestPiecesResume failed before. Packed updates have at most 2 MB, the size of a message.

--- a/mesh/piece.go
+++ b/mesh/piece.go
@@ -27,8 +27,8 @@
 	shortExchange = 1.0 / 8
 	longExchange  = 1.0 / 4
 	// maxPacked is the largest size in bytes of a packed update, and maxUnpacked that of its events.
-	maxPacked   = 8 << 20
-	maxUnpacked = 32 << 20
+	maxPacked   = 2 << 20
+	maxUnpacked = 16 << 20
 	// maxPacks and packLife bound the packed updates that are kept for other neighbours.
 	maxPacks = 16
 	packLife = 5 * time.Second
@@ -154,13 +154,10 @@
 // split returns the update as it is sent to a neighbour whose copy is complete up to version
 // known: as it is, or as its next piece of at most window bytes.
 func (t *transfer) split(list List, u ListUpdate, known store.Version, p *Progress, window int, now time.Duration) ListUpdate {
-	if u.Version == 0 {
-		return u
-	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.noteContent(list)
-	k := t.begun(u.Version, known, p)
+	k := t.begun(max(u.Version, known), known, p)
 	if k == nil && sizeOf(u.Events) > wholeSize {
 		k = t.pack(&u, known, p.Base, now)
 	}
@@ -170,7 +167,7 @@
 	t.packs = keepLast(t.packs, k, maxPacks)
 	k.usedAt = now
 	offset := min(p.size(k.digest), len(k.data)-1)
-	out := ListUpdate{Version: k.version, Complete: k.complete, Age: u.Age, Outdated: u.Outdated}
+	out := ListUpdate{Version: k.version, Complete: k.complete, Age: u.Age, Outdated: u.Outdated || u.Version == 0}
 	if k.version != u.Version {
 		out.Age = max(u.Age, model.Millis((now-k.completeAt)/time.Millisecond)+1)
 	}
--- a/mesh/piece_test.go
+++ b/mesh/piece_test.go
@@ -19,6 +19,7 @@
 	recordingList
 	text []byte
 	base []byte
+	sent bool
 }
 
 func (l *textList) Content() []byte { return l.base }
@@ -80,6 +81,27 @@
 	must.Len(t, 1, receiver.received)
 	test.EqOp(t, 9, receiver.received[0].Version)
 	test.Positive(t, receiver.received[0].Age)
+
+	// What a host sends only once a second, since its neighbour may not be able to read it, goes on.
+	once := &onceList{textList{recordingList: recordingList{at: 5}, text: text}}
+	receiver.at, receiver.received = 5, nil
+	source := listsOf(once)
+	for range messages {
+		pull(child, source)
+		once.sent = true
+	}
+	must.Len(t, 1, receiver.received)
+	test.True(t, receiver.received[0].Outdated)
+}
+
+// onceList is a list whose update is offered to a neighbour once.
+type onceList struct{ textList }
+
+func (l *onceList) Since(known store.Version, to model.HostID) ListUpdate {
+	if l.sent {
+		return ListUpdate{}
+	}
+	return l.textList.Since(known, to)
 }
 
 // TestPiecesBased guards against a small change of a large content that takes as long as the
