--- a/review/standins-3/foreign.go
+++ b/review/standins-3/foreign.go
@@ -10,7 +10,7 @@
 func init() { cases["foreign"] = foreign }
 
 // foreign: another writer writes an entry of kind servers in which fields are missing:
-// configVersion, cold, seq and born. It stands under the id of an instance of another service, until
+// configVersion, cold and seq. It stands under the id of an instance of another service, until
 // that instance's next beat.
 func foreign(s *setup) (verdict, error) {
 	var mu sync.Mutex
@@ -64,8 +64,8 @@
 		if !s.trouble {
 			continue
 		}
-		f.Store.Put("servers", archive.ID, map[string]any{"service": "ledger", "address": archive.Address, "zone": archive.Zone, "slots": 6, "state": "ready"})
-		s.record.Add("another writer wrote the entry %s: service ledger, address, zone, slots and state; configVersion, cold, seq and born are missing", archive.ID)
+		f.Store.Put("servers", archive.ID, map[string]any{"service": "ledger", "address": archive.Address, "zone": archive.Zone, "slots": 6, "state": "ready", "born": archive.Born})
+		s.record.Add("another writer wrote the entry %s: service ledger, address, zone, slots, state and born; configVersion, cold and seq are missing", archive.ID)
 	}
 	time.Sleep(4 * time.Second)
 	close(stop)
--- a/review/standins-3/server.go
+++ b/review/standins-3/server.go
@@ -22,6 +22,7 @@
 // what it ran.
 type Server struct {
 	ID, Service, Address, Zone string
+	Born                       int64         // start in Unix milliseconds
 	Work                       time.Duration // of each request
 	Body                       int           // bytes of each answer
 	OnRun                      func(Run)
@@ -47,8 +48,8 @@
 }
 
 // Entry returns what the server writes to the store.
-func (s *Server) Entry(state string, born int64, seq int) map[string]any {
-	return map[string]any{"service": s.Service, "address": s.Address, "zone": s.Zone, "configVersion": "v1", "slots": 6, "state": state, "cold": "0ms", "born": born, "seq": seq}
+func (s *Server) Entry(state string, seq int) map[string]any {
+	return map[string]any{"service": s.Service, "address": s.Address, "zone": s.Zone, "configVersion": "v1", "slots": 6, "state": state, "cold": "0ms", "born": s.Born, "seq": seq}
 }
 
 func (s *Server) serve(c net.Conn) {
@@ -108,18 +109,17 @@
 	var list []*Server
 	for i := range servers {
 		h := f.Hosts[i%len(f.Hosts)]
-		srv := &Server{ID: fmt.Sprintf("i-%d", i), Service: "ledger", Zone: h.Zone, Work: 5 * time.Millisecond, Body: 200, OnRun: onRun}
+		srv := &Server{ID: fmt.Sprintf("i-%d", i), Service: "ledger", Zone: h.Zone, Work: 5 * time.Millisecond, Body: 200, OnRun: onRun, Born: time.Now().UnixMilli()}
 		prepare(srv)
 		if err := srv.Start(h.IP + ":0"); err != nil {
 			return nil, nil, err
 		}
 		list = append(list, srv)
 	}
-	born := time.Now().UnixMilli()
 	f.Store.Put("config", "main", cfg)
 	beat := func(seq int) {
 		for _, srv := range list {
-			f.Store.Put("servers", srv.ID, srv.Entry("ready", born, seq))
+			f.Store.Put("servers", srv.ID, srv.Entry("ready", seq))
 		}
 	}
 	beat(1)
