--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -9,7 +9,7 @@
 dir=$(mktemp -d) || exit 2
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-target/review-3/review-3 -case restored -trouble=$trouble -dir "$dir" -program target/rhubarbdrift -record "$here/record.txt" &
+target/review-3/review-3 -case large -trouble=$trouble -dir "$dir" -program target/rhubarbdrift -record "$here/record.txt" &
 pid=$!
 trap 'kill "$pid" 2>/dev/null' TERM INT
 wait "$pid"
--- a/review/standins-3/main.go
+++ b/review/standins-3/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -28,6 +29,9 @@
 	dir, program string
 	trouble      bool
 	record       *Record
+
+	mu     sync.Mutex
+	silent map[string]bool // servers that do not write their entries
 }
 
 var cases = map[string]func(*setup) (verdict, error){}
@@ -44,7 +48,7 @@
 		fmt.Fprintln(os.Stderr, "unknown case, or no folder or program")
 		os.Exit(int(failed))
 	}
-	s := &setup{dir: *dir, program: *program, trouble: *trouble, record: NewRecord()}
+	s := &setup{dir: *dir, program: *program, trouble: *trouble, record: NewRecord(), silent: make(map[string]bool)}
 	interrupted := make(chan os.Signal, 1)
 	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
 	go func() {
--- a/review/standins-3/server.go
+++ b/review/standins-3/server.go
@@ -118,8 +118,12 @@
 	}
 	f.Store.Put("config", "main", cfg)
 	beat := func(seq int) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
 		for _, srv := range list {
-			f.Store.Put("servers", srv.ID, srv.Entry("ready", seq))
+			if !s.silent[srv.ID] {
+				f.Store.Put("servers", srv.ID, srv.Entry("ready", seq))
+			}
 		}
 	}
 	beat(1)
@@ -138,3 +142,10 @@
 	time.Sleep(4 * time.Second)
 	return f, list, nil
 }
+
+// stopBeat keeps a server from writing its entry by itself.
+func (s *setup) stopBeat(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent[id] = true
+}
--- a/review/standins-3/store.go
+++ b/review/standins-3/store.go
@@ -68,20 +68,16 @@
 // Put writes an object for the operator or a server. A nil value removes it. It fails while the
 // store is away.
 func (s *Store) Put(kind, name string, value any) (ok bool) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.away {
 		return false
 	}
-	if value == nil {
-		s.write(kind, name, nil, true)
-		return true
-	}
-	data, err := json.Marshal(value)
-	if err != nil {
-		panic(err)
-	}
-	s.write(kind, name, data, false)
+	s.write(kind, name, data, value == nil)
 	return true
 }
 
@@ -171,52 +167,59 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	era, status, value := s.call(r, kind, name, &in)
+	answer(w, era, status, value)
+}
+
+// call carries out a call other than a watch.
+func (s *Store) call(r *http.Request, kind, name string, in *storeObject) (era uint64, status int, value any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old, exists := s.objects[kind+"/"+name]
 	switch {
 	case r.Method == http.MethodGet && name == "":
-		s.list(w, r, kind)
+		return s.era, http.StatusOK, s.list(r, kind)
 	case r.Method == http.MethodPost:
 		if old, exists := s.objects[kind+"/"+in.Metadata.Name]; exists {
-			s.answer(w, http.StatusConflict, old)
-			return
+			return s.era, http.StatusConflict, old
 		}
-		s.answer(w, http.StatusOK, s.write(kind, in.Metadata.Name, in.Spec, false))
+		return s.era, http.StatusOK, s.write(kind, in.Metadata.Name, in.Spec, false)
 	case !exists:
-		s.answer(w, http.StatusNotFound, nil)
+		return s.era, http.StatusNotFound, nil
 	case r.Method == http.MethodGet:
-		s.answer(w, http.StatusOK, old)
+		return s.era, http.StatusOK, old
 	case r.Method == http.MethodPut && in.Metadata.Revision != 0 && in.Metadata.Revision != old.Metadata.Revision:
-		s.answer(w, http.StatusConflict, old)
+		return s.era, http.StatusConflict, old
 	case r.Method == http.MethodPut:
-		s.answer(w, http.StatusOK, s.write(kind, name, in.Spec, false))
+		return s.era, http.StatusOK, s.write(kind, name, in.Spec, false)
 	case r.Method == http.MethodDelete:
 		if rev := r.URL.Query().Get("revision"); rev != "" && rev != strconv.FormatUint(old.Metadata.Revision, 10) {
-			s.answer(w, http.StatusConflict, old)
-			return
+			return s.era, http.StatusConflict, old
 		}
-		s.answer(w, http.StatusOK, s.write(kind, name, nil, true))
+		return s.era, http.StatusOK, s.write(kind, name, nil, true)
 	default:
-		s.answer(w, http.StatusMethodNotAllowed, nil)
+		return s.era, http.StatusMethodNotAllowed, nil
 	}
 }
 
-// answer writes an answer. The caller holds s.mu.
-func (s *Store) answer(w http.ResponseWriter, status int, value any) {
+// answer writes an answer of an era. The caller does not hold s.mu.
+func answer(w http.ResponseWriter, era uint64, status int, value any) {
 	data, err := json.Marshal(value)
 	if err != nil {
 		panic(err)
 	}
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+	w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	w.WriteHeader(status)
 	_, _ = w.Write(data)
 }
 
-// list answers a page of 500 objects. The caller holds s.mu.
-func (s *Store) list(w http.ResponseWriter, r *http.Request, kind string) {
+// pageObjects and pageBytes bound a page of a list.
+const pageObjects, pageBytes = 500, 1 << 20
+
+// list returns a page of objects. The caller holds s.mu.
+func (s *Store) list(r *http.Request, kind string) any {
 	after := r.URL.Query().Get("after")
 	items := []storeObject{}
 	for key, o := range s.objects {
@@ -225,11 +228,13 @@
 		}
 	}
 	sort.Slice(items, func(i, j int) bool { return items[i].Metadata.Name < items[j].Metadata.Name })
-	more := len(items) > 500
-	if more {
-		items = items[:500]
+	n := 0
+	for size := 0; n < len(items) && n < pageObjects && (n == 0 || size+len(items[n].Spec) <= pageBytes); n++ {
+		size += len(items[n].Spec)
 	}
-	s.answer(w, http.StatusOK, map[string]any{"items": items, "more": more, "asOf": s.revision})
+	more := n < len(items)
+	items = items[:n]
+	return map[string]any{"items": items, "more": more, "asOf": s.revision}
 }
 
 // watch answers the events after a revision, as soon as there is one.
@@ -251,8 +256,9 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		case after > s.revision:
-			s.answer(w, http.StatusGone, nil)
+			era := s.era
 			s.mu.Unlock()
+			answer(w, era, http.StatusGone, nil)
 			return
 		}
 		events := []storeEvent{}
@@ -261,13 +267,12 @@
 				events = append(events, e)
 			}
 		}
+		changed, era, revision := s.changed, s.era, s.revision
+		s.mu.Unlock()
 		if len(events) > 0 || over {
-			s.answer(w, http.StatusOK, map[string]any{"events": events, "asOf": s.revision})
-			s.mu.Unlock()
+			answer(w, era, http.StatusOK, map[string]any{"events": events, "asOf": revision})
 			return
 		}
-		changed := s.changed
-		s.mu.Unlock()
 		select {
 		case <-changed:
 		case <-end.C:
