whole, platform: numbers are read by their value, not by their spelling

Cause: encoding/json decodes only digits into an integer, and weights were integers although they are proportions. The class is a value whose spelling decides whether it is read: priority, maxAttempts, maxBodyBytes, slots, born, revisions, counts of the settings and durations with an exponent too.

--- a/cmds/explain.go
+++ b/cmds/explain.go
@@ -145,7 +145,7 @@
 func printPool(row func(string, ...any), p *proxy.PoolExplanation) {
 	row("\npool\t%s", p.Pool)
 	if p.Weight > 0 {
-		row(", weight %d", p.Weight)
+		row(", weight %v", p.Weight)
 	}
 	row(", urgent: %t\n", p.Urgent)
 	switch h := p.Hedge; {
--- a/model/instance.go
+++ b/model/instance.go
@@ -21,5 +21,5 @@
 // relative to the weights of the route's other destinations.
 type SplitDestination struct {
 	Pool   PoolID `json:"pool"   cbor:"1,keyasint"`
-	Weight int    `json:"weight" cbor:"2,keyasint"`
+	Weight Weight `json:"weight" cbor:"2,keyasint"`
 }
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -109,7 +109,7 @@
 	if !ok {
 		return c.refuseUnlessStale(refuse.New(refuse.KindRoute, refuse.NotRun, "no route matches the host and path", "check the URL"))
 	}
-	c.route, c.pool = route, selectPool(route, rand.IntN)
+	c.route, c.pool = route, selectPool(route, rand.Float64)
 	timeout := route.Timeout().Duration()
 	if value := c.request.Header.Get(c.proxy.deps.Protocol.Deadline); value != "" {
 		milliseconds, err := strconv.ParseInt(value, 10, 64)
@@ -171,23 +171,28 @@
 	return refusal(refuse.New(refuse.KindStale, refuse.NotRun, "this daemon may hold an old configuration", "retry, which may reach another daemon"), shortRetryDelay)
 }
 
-// selectPool returns the pool for one request, by the weights of a split route.
-func selectPool(r *model.Route, random func(int) int) model.PoolID {
-	sum := 0
+// selectPool returns the pool for one request, by the weights of a split route. Random returns
+// a number from 0 to less than 1.
+func selectPool(r *model.Route, random func() float64) model.PoolID {
+	var sum model.Weight
 	for _, p := range r.Split {
 		sum += p.Weight
 	}
 	if sum == 0 {
 		return r.Pool
 	}
-	remaining := random(sum)
+	chosen, remaining := r.Pool, model.Weight(random())*sum
 	for _, p := range r.Split {
+		if p.Weight == 0 {
+			continue
+		}
+		chosen = p.Pool // the last one also gets what rounding leaves
 		if remaining < p.Weight {
-			return p.Pool
+			break
 		}
 		remaining -= p.Weight
 	}
-	return r.Pool
+	return chosen
 }
 
 // authenticate sets the customer of the request's key. On an open route, a request
--- a/proxy/explain.go
+++ b/proxy/explain.go
@@ -47,7 +47,7 @@
 // PoolExplanation is one pool that may get the request.
 type PoolExplanation struct {
 	Pool    model.PoolID              `json:"pool"`
-	Weight  int                       `json:"weight"` // 0: the route has no split
+	Weight  model.Weight              `json:"weight"` // 0: the route has no split
 	Urgent  bool                      `json:"urgent"` // the request is of the pool's most urgent rank
 	Targets []place.TargetExplanation `json:"targets"`
 	Hedge   HedgeExplanation          `json:"hedge"`
@@ -152,7 +152,7 @@
 }
 
 // explainPool explains the choice of a target in the pool of the call.
-func (c *call) explainPool(weight int, limits explainer) PoolExplanation {
+func (c *call) explainPool(weight model.Weight, limits explainer) PoolExplanation {
 	balancer := c.proxy.deps.Balancer
 	d := &dispatch{call: c}
 	d.seconds, d.bytes = c.proxy.requestStats.get(c.route)
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -326,16 +327,22 @@
 	test.True(t, tp.targetScript.closed.Load())
 }
 
-// TestSplit guards against a split route whose pools don't get their weighted share.
+// TestSplit guards against a split route whose pools don't get their weighted share, also if the
+// weights are no whole numbers.
 func TestSplit(t *testing.T) {
-	r := &model.Route{Split: []model.SplitDestination{{Pool: "a", Weight: 90}, {Pool: "b", Weight: 10}}}
-	n := 0
-	got := make(map[model.PoolID]int)
-	for range 1000 {
-		got[selectPool(r, func(sum int) int { n = (n + 7) % sum; return n })]++
+	for _, weights := range [][2]model.Weight{{90, 10}, {0.9, 0.1}, {1 << 30, (1 << 30) / 9.0}, {9e-300, 1e-300}} {
+		r := &model.Route{Split: []model.SplitDestination{{Pool: "a", Weight: weights[0]}, {Pool: "none"}, {Pool: "b", Weight: weights[1]}}}
+		n := 0
+		got := make(map[model.PoolID]int)
+		for range 1000 {
+			got[selectPool(r, func() float64 { n = (n + 7) % 100; return (float64(n) + 0.5) / 100 })]++
+		}
+		test.Eq(t, map[model.PoolID]int{"a": 900, "b": 100}, got, test.Sprint(weights))
 	}
-	test.Eq(t, 900, got["a"])
-	test.Eq(t, 100, got["b"])
+	r := &model.Route{Pool: "c", Split: []model.SplitDestination{{Pool: "a", Weight: 0.1}, {Pool: "b", Weight: 0.2}, {Pool: "none"}}}
+	test.Eq(t, "b", selectPool(r, func() float64 { return math.Nextafter(1, 0) }))
+	r.Split = r.Split[2:]
+	test.Eq(t, "c", selectPool(r, func() float64 { return 0 }))
 }
 
 // pipeline sends requests on one connection without waiting for responses, and returns the
--- a/store/era.go
+++ b/store/era.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strconv"
 	"sync/atomic"
+
+	"rhubarbdrift.example/whole"
 )
 
 // Era counts how often the platform's store came back from an older copy of itself. Within an
@@ -31,6 +33,14 @@
 // Revision returns the number that the store gave out.
 func (v Version) Revision() uint64 { return uint64(v) & maxRevision }
 
+// UnmarshalJSON implements json.Unmarshaler. It accepts each JSON spelling of a whole number.
+func (v *Version) UnmarshalJSON(data []byte) error {
+	var n whole.Number[uint64]
+	err := n.UnmarshalJSON(data)
+	*v = Version(n.Value)
+	return err
+}
+
 // in returns the version of the same revision in an era. It is for versions as a dialect
 // decodes them, which are revisions only.
 func (v Version) in(era Era) Version { return NewVersion(era, uint64(v)) }
