mesh: a parent that answers gets a message after each host that does not

Callers saw: with many lost hosts on the list, parts of the limits that nobody used, so that requests within them were refused.

Cause: a host that is silent is tried again after 8 s at most, and all of those that were due were tried before the parent. Each takes 0.2 to 0.5 s, so that the parent took the child for lost after 1.5 s, again and again. The class is work for lost hosts that delays the living ones.

Change: after one host that does not answer, the parent is next.

--- a/mesh/run.go
+++ b/mesh/run.go
@@ -235,17 +235,18 @@
 
 // exchange sends a message to the best parent that answers and makes it the
 // parent. Without an answer there is none. A host that does not answer is no candidate
-// for a time, so each is tried once.
+// for a time, so each is tried once. While the parent answers, it gets a message after each
+// other host that does not: it would take this one for lost if many were tried before.
 func (r *Runner) exchange(ctx context.Context, hosts []Host) {
-	for ctx.Err() == nil {
+	for failed := false; ctx.Err() == nil; failed = true {
 		parents := r.candidates(hosts)
 		if len(parents) == 0 {
 			r.setParent(Host{})
 			return
 		}
 		next := parents[0]
-		if r.more && slices.Contains(parents, r.parent) {
-			next = r.parent // a better one is tried once the update is whole
+		if (r.more || failed) && slices.Contains(parents, r.parent) {
+			next = r.parent // a better one is tried later, and not before the update is whole
 		}
 		if r.exchangeWith(ctx, next) {
 			r.setParent(next)
