mesh: hosts are counted by name, and only those whose reports arrive

Cause: the share of the limits that a host uses followed from numbers: the hosts over each link, and ports that refuse. A host behind a cut refuses too and uses its part there; one that moves to another parent was in two numbers. The class is an identity that is reduced to a number.

Change: a message names the hosts that it covers, four bytes each, when the receiver lacks that set; the count is that of the union. The probe of ports is gone: nobody but a host itself says that it has stopped.

Evidence, TestHostsCounted: on, with probes that are refused as by the cut, 12 hosts counted where one is reached, and 48 of 24; without probes 25 to 70 of 24.

--- a/mesh/export_test.go
+++ b/mesh/export_test.go
@@ -5,10 +5,7 @@
 // Answer is the handler of messages from children.
 func (n *Node) Answer(l *RelayedLists, m *Message) *Message { return n.answer(l, m) }
 
-// WithTransport replaces the calls of other hosts, and the probes of those that are lost.
+// WithTransport replaces the calls of other hosts.
 func WithTransport(send func(ctx context.Context, to Host, m *Message) (*Message, error)) Option {
-	return func(r *Runner) {
-		r.send = send
-		r.refuses = func(context.Context, string) bool { return false }
-	}
+	return func(r *Runner) { r.send = send }
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -24,16 +24,19 @@
 
 	mu      sync.Mutex
 	links   map[model.HostID]*link
-	stopped int // hosts without a link that are known to run no daemon
+	reach   reachable // the hosts that the links reach
 	started time.Time
 }
 
 // link is the state of the connection to a neighbour: the parent or a child.
 type link struct {
-	pending   Sum // reports to send with the next message
-	hostCount int // hosts reachable over the link
-	newCount  int // those of them that started within model.WarmUpPeriod
-	lastSeen  time.Time
+	pending  Sum     // reports to send with the next message
+	reaches  hostSet // hosts that are reachable over the link
+	has      uint32  // hash of that set as the neighbour sent it; 0: none
+	peerHas  uint32  // hash of the set of this host that the neighbour has; 0: none
+	lastSeen time.Time
+	// The numbers of hosts that a neighbour of an earlier release sends, which names none.
+	hostCount, newCount int
 }
 
 // Host is a daemon of the fleet.
@@ -63,7 +66,7 @@
 // NewNode returns a node without links. It calls onReport with each sum that
 // other hosts report.
 func NewNode(self Host, clock model.Clock, onReport func(*Sum)) *Node {
-	return &Node{self: self, clock: clock, onReport: onReport, incarnation: rand.Uint64() | 1, links: make(map[model.HostID]*link), started: clock()}
+	return &Node{self: self, clock: clock, onReport: onReport, incarnation: rand.Uint64() | 1, links: make(map[model.HostID]*link), reach: newReachable(self.ID), started: clock()}
 }
 
 // Report adds a report of this host to the pending sum of every link.
@@ -92,7 +95,8 @@
 		l = new(link)
 		n.links[from] = l
 	}
-	l.hostCount, l.newCount, l.lastSeen = in.Hosts, in.New, n.clock()
+	l.lastSeen = n.clock()
+	n.setReach(l, in)
 	for id, other := range n.links {
 		if id != from {
 			other.pending.Add(in)
@@ -100,9 +104,36 @@
 	}
 }
 
+// setReach stores which hosts a neighbour reaches. The caller holds n.mu.
+func (n *Node) setReach(l *link, in *Sum) {
+	r := in.Reach
+	if r == nil {
+		n.replaceSet(l, nil)
+		l.has, l.peerHas, l.hostCount, l.newCount = 0, 0, in.Hosts, in.New
+		return
+	}
+	l.peerHas, l.hostCount, l.newCount = r.Have, 0, 0
+	switch {
+	case len(r.Hosts) > 0:
+		n.replaceSet(l, parseSet(r))
+		l.has = r.Hash
+	case r.Hash != l.has:
+		n.replaceSet(l, nil) // until the neighbour learns that its set is missing here
+		l.has = 0
+	}
+}
+
+// replaceSet replaces the set of a link. The caller holds n.mu.
+func (n *Node) replaceSet(l *link, s hostSet) {
+	delete(s, n.reach.self)
+	n.reach.add(l.reaches, -1)
+	n.reach.add(s, 1)
+	l.reaches = s
+}
+
 // TakePending returns and clears the pending message for a neighbour: what all other
-// links and this host reported since the previous one. Its Hosts and New count the
-// hosts that are reachable without this link. It opens the link if there is none.
+// links and this host reported since the previous one. It names the hosts that are
+// reachable without this link. It opens the link if there is none.
 func (n *Node) TakePending(to model.HostID) Sum {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -113,8 +144,18 @@
 	}
 	pending := l.pending
 	l.pending = Sum{}
-	pending.Hosts = n.hostCount() - l.hostCount
-	pending.New = n.newCount() - l.newCount
+	hash := n.reach.hashWithout(l.reaches)
+	hash.toggle(n.reach.self, n.isNew())
+	pending.Reach = &Reach{Hash: hash.short(), Have: l.has}
+	if l.peerHas != hash.short() {
+		set := n.reach.setWithout(l.reaches)
+		set[n.reach.self] = n.isNew()
+		pending.Reach.Hosts, pending.Reach.New = set.keys(false), set.keys(true)
+	}
+	if l.has == 0 { // the neighbour may be of an earlier release, or its set was not received yet
+		pending.Hosts = n.hostCount() - l.hostCount - len(l.reaches)
+		pending.New = n.newCount() - l.newCount
+	}
 	return pending
 }
 
@@ -122,18 +163,20 @@
 func (n *Node) RemoveLink(id model.HostID) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	delete(n.links, id)
+	n.removeLink(id)
 }
 
-// SetStoppedHosts sets the number of hosts without a link that are known to run no daemon.
-func (n *Node) SetStoppedHosts(count int) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.stopped = count
+// removeLink implements RemoveLink. The caller holds n.mu.
+func (n *Node) removeLink(id model.HostID) {
+	if l := n.links[id]; l != nil {
+		n.replaceSet(l, nil)
+		delete(n.links, id)
+	}
 }
 
-// CountHosts returns the number of hosts whose reports reach this one, itself and
-// those known to be stopped included.
+// CountHosts returns the number of hosts whose reports reach this one, itself included. A host
+// that does not answer never counts, whatever its port says: it may be alive behind a cut, where it
+// uses its own part of the limits.
 func (n *Node) CountHosts() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -151,8 +194,8 @@
 
 // newCount implements CountNew. The caller holds n.mu.
 func (n *Node) newCount() int {
-	sum := 0
-	if n.clock().Sub(n.started) < model.WarmUpPeriod {
+	sum := n.reach.fresh
+	if n.isNew() {
 		sum++
 	}
 	for _, l := range n.links {
@@ -161,6 +204,9 @@
 	return sum
 }
 
+// isNew reports whether this host started within model.WarmUpPeriod.
+func (n *Node) isNew() bool { return n.clock().Sub(n.started) < model.WarmUpPeriod }
+
 // HasLink reports whether there is a link to the host.
 func (n *Node) HasLink(id model.HostID) bool {
 	n.mu.Lock()
@@ -171,7 +217,7 @@
 // hostCount implements CountHosts without removing links that timed out. The caller
 // holds n.mu.
 func (n *Node) hostCount() int {
-	sum := 1 + n.stopped
+	sum := 1 + len(n.reach.counts)
 	for _, l := range n.links {
 		sum += l.hostCount
 	}
@@ -183,7 +229,7 @@
 	now := n.clock()
 	for id, l := range n.links {
 		if now.Sub(l.lastSeen) > linkTimeout {
-			delete(n.links, id)
+			n.removeLink(id)
 		}
 	}
 }
--- a/mesh/run.go
+++ b/mesh/run.go
@@ -2,14 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"maps"
-	"net"
 	"slices"
 	"sync"
-	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -41,10 +37,6 @@
 	// doubles with each failure up to maxBackoff.
 	minBackoff = time.Second
 	maxBackoff = 8 * time.Second
-	// probeInterval is the time between two probes for stopped hosts.
-	probeInterval = 500 * time.Millisecond
-	// probeTimeout bounds the probe of one host.
-	probeTimeout = 200 * time.Millisecond
 )
 
 // Message is the request or the answer of an exchange between a child and its
@@ -84,6 +76,9 @@
 	if m.From == "" || len(m.From) > store.MaxName || m.Sum.Hosts < 0 || m.Sum.Hosts > maxHosts || m.Sum.New < 0 || m.Sum.New > maxHosts {
 		return fault.Invalid("mesh message", fmt.Sprintf("it comes from %.40q, with %d hosts of which %d are new", m.From, m.Sum.Hosts, m.Sum.New), "run compatible versions of rhubarbdrift on all hosts")
 	}
+	if err := m.Sum.Reach.check(); err != nil {
+		return fault.Wrap(fault.KindInvalid, err, "mesh message", "run compatible versions of rhubarbdrift on all hosts")
+	}
 	m.Sum.dropOdd()
 	return nil
 }
@@ -124,12 +119,11 @@
 
 // Runner selects the node's parent and exchanges messages with it.
 type Runner struct {
-	node    *Node
-	lists   *RelayedLists
-	send    transport
-	refuses func(ctx context.Context, address string) bool // reports whether connections are refused
-	hosts   func() []Host
-	log     zerolog.Logger
+	node  *Node
+	lists *RelayedLists
+	send  transport
+	hosts func() []Host
+	log   zerolog.Logger
 
 	parentsFrom []Host                // the list of hosts that parents was computed from
 	silent      map[model.HostID]bool // those of them that were left out
@@ -160,7 +154,7 @@
 // NewRunner returns a runner. The function hosts returns the known daemons, or
 // none before their list was read; it is called before every message.
 func NewRunner(n *Node, l *RelayedLists, p *wire.ClientPool, hosts func() []Host, options ...Option) *Runner {
-	r := &Runner{node: n, lists: l, hosts: hosts, refuses: refusesConnection, window: startWindow, log: zerolog.Nop(), backoffs: make(map[model.HostID]backoff)}
+	r := &Runner{node: n, lists: l, hosts: hosts, window: startWindow, log: zerolog.Nop(), backoffs: make(map[model.HostID]backoff)}
 	r.send = func(ctx context.Context, to Host, m *Message) (*Message, error) {
 		return wire.Call[Message, Message](ctx, p.Client(to.Address), method, m)
 	}
@@ -174,7 +168,6 @@
 func (r *Runner) Run(ctx context.Context) error {
 	next := time.NewTimer(startInterval)
 	defer next.Stop()
-	var lastProbe time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -184,10 +177,6 @@
 		hosts := r.hosts()
 		r.exchange(ctx, hosts)
 		r.lists.setFirst(len(hosts) > 0 && r.parent.ID == "")
-		if r.node.CountHosts() < len(hosts) && time.Since(lastProbe) >= probeInterval {
-			lastProbe = time.Now()
-			r.probe(ctx, hosts)
-		}
 		next.Reset(r.nextInterval(hosts))
 	}
 }
@@ -333,56 +322,3 @@
 	r.backoffs[id] = b
 	r.log.Warn().Err(err).Str("peer", string(id)).Dur("pause", b.delay).Msg("mesh peer does not answer")
 }
-
-// probe counts the listed hosts that run no daemon, because their ports refuse
-// connections. They use nothing of any limit, unlike hosts that are merely
-// unreachable. The head of a failure domain probes the hosts of its domain, and
-// the head of a region's first domain those of domains without a head.
-func (r *Runner) probe(ctx context.Context, hosts []Host) {
-	var wait sync.WaitGroup
-	var stopped atomic.Int64
-	for _, h := range hosts {
-		if h.ID == r.node.self.ID || r.node.HasLink(h.ID) || !r.probesFor(domainOf(h), hosts) {
-			continue
-		}
-		wait.Go(func() {
-			if r.refuses(ctx, h.Address) {
-				stopped.Add(1)
-			}
-		})
-	}
-	wait.Wait()
-	r.node.SetStoppedHosts(int(stopped.Load()))
-}
-
-// probesFor reports whether this host probes the hosts of a failure domain. A head's
-// parent is in another domain or missing, and the parent of the head of a region's
-// first domain in another region or missing.
-func (r *Runner) probesFor(key domainKey, hosts []Host) bool {
-	self := domainOf(r.node.self)
-	if key == self {
-		return domainOf(r.parent) != self
-	}
-	if key.region != self.region || r.parent.Region == self.region {
-		return false
-	}
-	for _, h := range hosts {
-		if domainOf(h) == key && r.node.HasLink(h.ID) {
-			return false // its head probes them
-		}
-	}
-	return true
-}
-
-// refusesConnection reports whether the address refuses a TCP connection.
-func refusesConnection(ctx context.Context, address string) bool {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	var d net.Dialer
-	c, err := d.DialContext(ctx, "tcp", address)
-	if err == nil {
-		_ = c.Close()
-		return false
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
--- a/mesh/sum.go
+++ b/mesh/sum.go
@@ -70,10 +70,10 @@
 // Sum is the aggregated report of a part of the fleet since the previous message.
 // The zero value is an empty report.
 type Sum struct {
-	// Hosts is the number of hosts that the sum covers, including those known to
-	// be stopped.
-	Hosts int `cbor:"1,keyasint,omitempty"`
-	// New is the number of those hosts that started within model.WarmUpPeriod.
+	// Reach names the hosts that the sum covers. Hosts and New are their number, and that of
+	// those which started within model.WarmUpPeriod, for earlier releases.
+	Reach     *Reach                          `cbor:"6,keyasint,omitempty"`
+	Hosts     int                             `cbor:"1,keyasint,omitempty"`
 	New       int                             `cbor:"5,keyasint,omitempty"`
 	Targets   map[model.TargetID]TargetCounts `cbor:"2,keyasint,omitempty"`
 	Customers map[model.CustomerID]Usage      `cbor:"3,keyasint,omitempty"`
@@ -145,7 +145,7 @@
 	return m
 }
 
-// Add adds all counts of another sum except Hosts and New.
+// Add adds all counts of another sum except those of hosts.
 func (s *Sum) Add(o *Sum) {
 	for id, t := range o.Targets {
 		s.AddTarget(id, t)
