caller: the end of a connection is noticed behind a full read buffer

Cause: the end of a connection was noticed by reading a byte beyond the buffer. A body that may not be read yet fills the buffer, and hides the end. The class is an event that is told only behind the data in front of it: also bodies above the limit on bytes, Expect, pipelines above the limit on requests, and bytes after a last request.

Change: while the buffer is full, and before a request is taken that had to wait, the system is asked (POLLRDHUP).

--- a/caller/conn.go
+++ b/caller/conn.go
@@ -23,6 +23,8 @@
 	// lastReadTime is how long the last read of a connection waits for bytes that the
 	// system may have received already.
 	lastReadTime = 10 * time.Millisecond
+	// leftInterval is how often a connection whose read buffer is full is checked for its end.
+	leftInterval = 100 * time.Millisecond
 	// smallBuffer is the size of the read buffer of a connection that has not needed a
 	// larger one. Most connections are idle most of the time.
 	smallBuffer = 4 << 10
@@ -149,7 +151,7 @@
 // long, or no request is taken any more and all were answered. Ready is called with
 // c.mu held. Without needByte, a request has been read and its body has not.
 func (c *conn) await(ready func() bool, needByte bool) bool {
-	held := false
+	held, waited := false, false
 	for {
 		c.mu.Lock()
 		buffered := c.in.Buffered() > 0
@@ -159,11 +161,11 @@
 		}
 		switch {
 		case c.last || !ready():
-			c.phase = parked
+			c.phase, waited = parked, true
 		case buffered || !needByte:
 			c.phase, c.readSince = reading, time.Now()
 			c.mu.Unlock()
-			return true
+			return !waited || !c.left() // what waited is not begun for a caller that has left
 		default:
 			c.phase = waiting
 		}
@@ -207,11 +209,7 @@
 	case errors.Is(err, bufio.ErrBufferFull) && mayGrow && c.grow():
 		return true
 	case errors.Is(err, bufio.ErrBufferFull):
-		select {
-		case <-c.woken:
-		case <-c.ctx.Done():
-		}
-		return true
+		return c.awaitWake()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.mu.Lock()
 		defer c.mu.Unlock()
@@ -227,6 +225,34 @@
 	}
 }
 
+// awaitWake waits until wake is called. It returns false if the caller has left, which no read
+// would tell: the buffer is full, and what it holds is not read yet.
+func (c *conn) awaitWake() bool {
+	t := time.NewTicker(leftInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-c.woken:
+			return true
+		case <-c.ctx.Done():
+			return true
+		case <-t.C:
+			if c.left() {
+				return false
+			}
+		}
+	}
+}
+
+// left reports whether the caller has left, although bytes of it are not read yet.
+func (c *conn) left() bool {
+	if !hasLeft(c.nc) {
+		return false
+	}
+	c.server.metrics.left.Inc(1)
+	return true
+}
+
 // resetIdle starts the idle timeout if there are no requests, and otherwise removes the
 // read deadline. The caller holds c.mu.
 func (c *conn) resetIdle() {
--- a/caller/server.go
+++ b/caller/server.go
@@ -65,6 +65,7 @@
 	malformed   tally.Counter
 	dropped     tally.Counter
 	shed        tally.Counter
+	left        tally.Counter
 }
 
 // Option configures a Server.
@@ -97,6 +98,7 @@
 		malformed:   m.Counter("malformed"),
 		dropped:     m.Counter("connections_refused"),
 		shed:        m.Counter("idle_closed"),
+		left:        m.Counter("left_unread"),
 	}
 }
 
