store, watch: a large entry costs that entry, and a failed list is outdated

Cause: the bound on a list counted what was received and not what is kept, and a list that failed had the age of the configuration. The classes are a limit on a whole that fails it for one part, and a proof that is used for something else.

Change: the client drops values above a bound page by page, and copies the others.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -139,16 +139,16 @@
 		options = append(options, place.WithNearFirst(s.Host))
 	}
 	e.balancer = place.NewBalancer(place.Location{Region: s.Region, Domain: s.Domain}, options...)
-	e.targets = watch.NewTargets(e.client(targetWait), names.Targets, e.adapter, func(set watch.TargetSet) { e.balancer.Update(time.Now(), set) },
+	e.targets = watch.NewTargets(e.client(targetWait, watch.MaxEntry), names.Targets, e.adapter, func(set watch.TargetSet) { e.balancer.Update(time.Now(), set) },
 		func() time.Duration { return e.config.ReadAge() }, func() bool { return e.config.StoreAnswers() }, watch.WithLog(e.log), watch.WithMeter(e.meter.Scope()))
 	observers := watch.Observers{e.targets}
 	if s.EvacuationBound > 0 {
-		e.evacuations = watch.NewEvacuations(e.client(evacuationWait), names.Evacuations, e.adapter, e.balancer.SetEvacuated,
+		e.evacuations = watch.NewEvacuations(e.client(evacuationWait, watch.MaxEntry), names.Evacuations, e.adapter, e.balancer.SetEvacuated,
 			func() time.Duration { return e.config.ReadAge() }, func() bool { return e.config.StoreAnswers() }, watch.WithLog(e.log), watch.WithMeter(e.meter.Scope()))
 		observers = append(observers, e.evacuations)
 	}
-	e.config = watch.NewConfigFollower(e.client(configWait), names.Config, names.ConfigName, e.adapter, e.holder, observers, watch.WithLog(e.log), watch.WithMeter(e.meter.Scope()))
-	e.hosts = watch.NewHosts(e.client(0), s.meshHost(), watch.WithLog(e.log), watch.WithMeter(e.meter.Scope()))
+	e.config = watch.NewConfigFollower(e.client(configWait, store.MaxValue), names.Config, names.ConfigName, e.adapter, e.holder, observers, watch.WithLog(e.log), watch.WithMeter(e.meter.Scope()))
+	e.hosts = watch.NewHosts(e.client(0, watch.MaxEntry), s.meshHost(), watch.WithLog(e.log), watch.WithMeter(e.meter.Scope()))
 	e.node = mesh.NewNode(s.meshHost(), clock.New(clock.SinceBoot), e.applyReport)
 	e.limits = limit.NewSet(time.Now(), limit.Allowance{Ratio: s.RetryRatio, Reserve: s.RetryReserve},
 		limit.Tolerance{Window: s.LimitWindow, Share: s.LimitOvershoot, Slack: s.LimitSlack}, reporter{e.node}, e.limitOptions()...)
@@ -189,10 +189,11 @@
 	return nil
 }
 
-// client returns a client of the store that lets it hold a watch for up to wait.
-func (e *Entry) client(wait time.Duration) *store.Client {
+// client returns a client of the store that lets it hold a watch for up to wait. Values of more
+// than maxValue bytes are dropped.
+func (e *Entry) client(wait time.Duration, maxValue int) *store.Client {
 	return store.NewClient("http://"+e.settings.StoreAddress, store.WithDialect(e.adapter.Dialect()),
-		store.WithMaxWatchWait(wait), store.WithWatchTimeout(wait+answerWait), store.WithTimeout(answerWait), store.WithMaxAnswer(maxStoreAnswer),
+		store.WithMaxWatchWait(wait), store.WithWatchTimeout(wait+answerWait), store.WithTimeout(answerWait), store.WithMaxAnswer(maxStoreAnswer), store.WithMaxValue(maxValue),
 		store.WithEraObserver(e.logEra))
 }
 
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rhubarbdrift.example/serve"
+	"rhubarbdrift.example/watch"
 )
 
 const (
@@ -45,13 +46,19 @@
 	e.hosts.Deregister(deregisterCtx)
 }
 
+// listsOutdated reports whether a list that decides on targets could not be read, although the
+// store answers.
+func (e *Entry) listsOutdated() bool {
+	return e.targets.Behind() > watch.MaxLag || e.evacuations != nil && e.evacuations.Behind() > watch.MaxLag
+}
+
 // isReady reports whether the load balancer should send callers to this host, and logs
 // each change.
 func (e *Entry) isReady() bool {
-	ready := !e.stopping.Load() && e.holder.Current() != nil && e.shareKnown.Load() && e.balancer.Evacuation().Known && len(e.targets.Set()) > 0 && e.config.Age() < unreadyAge && !e.configOutdated()
+	ready := !e.stopping.Load() && !e.listsOutdated() && e.holder.Current() != nil && e.shareKnown.Load() && e.balancer.Evacuation().Known && len(e.targets.Set()) > 0 && e.config.Age() < unreadyAge && !e.configOutdated()
 	if e.wasReady.Swap(ready) != ready {
 		e.log.Info().Bool("ready", ready).Bool("stopping", e.stopping.Load()).Dur("age", e.config.Age()).
-			Int("pools", len(e.targets.Set())).Msg("readiness changed")
+			Bool("lists_outdated", e.listsOutdated()).Int("pools", len(e.targets.Set())).Msg("readiness changed")
 	}
 	return ready
 }
--- a/store/client.go
+++ b/store/client.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -24,8 +25,12 @@
 	defaultMaxAnswer = 32 << 20
 )
 
-// maxListAnswers bounds a list of several pages, in answers of the largest size.
-const maxListAnswers = 4
+// maxListAnswers bounds what is kept of a list of several pages, and maxListRead what is read,
+// in answers of the largest size.
+const (
+	maxListAnswers = 4
+	maxListRead    = 128
+)
 
 // keepAlive detects a dead connection within seconds. Otherwise a watch on it
 // would wait until its time limit.
@@ -47,6 +52,7 @@
 	watchTimeout time.Duration
 	watchWait    time.Duration
 	maxAnswer    int
+	maxValue     int
 	eras         eraTracker
 	http         *fasthttp.HostClient
 }
@@ -75,6 +81,12 @@
 // memory. The default is 32 MiB.
 func WithMaxAnswer(n int) ClientOption { return func(c *Client) { c.maxAnswer = n } }
 
+// WithMaxValue sets the size in bytes above which the value of an object in a list or a watch is
+// dropped. The object then has a Problem, and does not count toward the largest list: any program
+// may write objects, and those that are too large to be of use must not hide the others. The
+// default is MaxValue.
+func WithMaxValue(n int) ClientOption { return func(c *Client) { c.maxValue = n } }
+
 // WithEraObserver sets a function that is called when an answer shows that the store came back
 // from an older copy. It must return quickly.
 func WithEraObserver(f func(before, after Era)) ClientOption {
@@ -84,7 +96,7 @@
 // NewClient returns a client of the platform at a base URL such as
 // "http://10.0.0.1:7000".
 func NewClient(base string, options ...ClientOption) *Client {
-	c := &Client{base: base, dialect: objapiDialect{}, timeout: defaultTimeout, watchTimeout: defaultWatchTimeout, watchWait: defaultWatchTimeout, maxAnswer: defaultMaxAnswer}
+	c := &Client{base: base, dialect: objapiDialect{}, timeout: defaultTimeout, watchTimeout: defaultWatchTimeout, watchWait: defaultWatchTimeout, maxAnswer: defaultMaxAnswer, maxValue: MaxValue}
 	c.eras.onChange = func(_, _ Era) {}
 	for _, o := range options {
 		o(c)
@@ -160,10 +172,17 @@
 	return l, err
 }
 
-// readPage reads one page of a list. It returns the size of the answer in bytes, too.
-func (c *Client) readPage(ctx context.Context, kind Kind, page Page) (Listing, int, error) {
+// pageSize is the size of one page of a list in bytes.
+type pageSize struct {
+	read int // size of the answer
+	kept int // without the values that were dropped
+}
+
+// readPage reads one page of a list.
+func (c *Client) readPage(ctx context.Context, kind Kind, page Page) (Listing, pageSize, error) {
 	r := c.roundTrip(ctx, c.dialect.List(kind, page), c.timeout)
 	r.outdated = r.outdated && !page.Stale
+	size := pageSize{len(r.body), len(r.body)}
 	l, err := decodeRead(r, kind, "", func(b []byte) (Listing, error) {
 		l, err := c.dialect.Listing(kind, b)
 		if err = errors.Join(err, checkRevision(l.Version)); err != nil {
@@ -172,10 +191,22 @@
 		l.Version = l.Version.in(r.era)
 		for i := range l.Objects {
 			l.Objects[i].Version = l.Objects[i].Version.in(r.era)
+			size.kept -= c.limitValue(&l.Objects[i])
 		}
 		return l, nil
 	})
-	return l, len(r.body), err
+	return l, size, err
+}
+
+// limitValue drops the value of an object that is too large and returns its size, or 0. Other
+// values are copied, since they would keep the whole answer in memory.
+func (c *Client) limitValue(o *Object) (dropped int) {
+	if dropped = len(o.Value); dropped <= c.maxValue {
+		o.Value = bytes.Clone(o.Value)
+		return 0
+	}
+	o.Value, o.Problem = nil, fmt.Sprintf("its value has %d bytes, more than %d", dropped, c.maxValue)
+	return dropped
 }
 
 // listAll reads all pages of a list. It returns the version of the first page,
@@ -184,12 +215,13 @@
 func (c *Client) listAll(ctx context.Context, kind Kind, page Page) ([]Object, Version, error) {
 	var objects []Object
 	var version Version
-	for size := 0; ; {
+	for size := (pageSize{}); ; {
 		l, n, err := c.readPage(ctx, kind, page)
 		if err != nil {
 			return nil, 0, err
 		}
-		if size += n; size > maxListAnswers*c.maxAnswer {
+		size.read, size.kept = size.read+n.read, size.kept+n.kept
+		if size.kept > maxListAnswers*c.maxAnswer || size.read > maxListRead*c.maxAnswer {
 			return nil, 0, ErrUnavailable(fmt.Sprintf("the list of %s: %v", kind, errTooLarge))
 		}
 		if page.After == "" {
@@ -260,6 +292,7 @@
 		w.Version = w.Version.in(r.era)
 		for i := range w.Events {
 			w.Events[i].Object.Version = w.Events[i].Object.Version.in(r.era)
+			c.limitValue(&w.Events[i].Object)
 		}
 		return w, nil
 	})
--- a/watch/evacuations.go
+++ b/watch/evacuations.go
@@ -39,6 +39,7 @@
 	stateMu  sync.Mutex
 	entries  map[string]model.Domain // by name of the entry
 	stale    staleness
+	lag      lag
 	restored bool                     // the next change of the list is the first of a later era
 	missing  map[string]time.Duration // boot time until which an entry is kept that an older copy of the store lacks
 }
@@ -48,7 +49,7 @@
 // NewTargets for storeAge and storeAnswers.
 func NewEvacuations(source Watcher, kind store.Kind, d EvacuationDecoder, notify func(map[model.Domain]bool), storeAge func() time.Duration, storeAnswers func() bool, opts ...Option) *Evacuations {
 	e := &Evacuations{follower: newFollower(source, kind, evacuationDelay, newOptions(opts)), decoder: d, notify: notify, entries: make(map[string]model.Domain), missing: make(map[string]time.Duration)}
-	e.maxValue = maxTargetValue
+	e.maxValue = MaxEntry
 	e.onRestore = func() { e.stateMu.Lock(); defer e.stateMu.Unlock(); e.restored = true }
 	e.onList, e.onEvents, e.storeAge, e.mayCall, e.storeAnswers = e.replace, e.update, storeAge, e.storeReachable, storeAnswers
 	return e
@@ -92,11 +93,19 @@
 	known := e.Version()
 	e.stateMu.Lock()
 	defer e.stateMu.Unlock()
+	e.noteLag(e.lag.note(known, v, e.sinceBoot()))
 	if e.stale.exceeds(known, v, maxEvacuationBehind) && e.lastCallOK.Load() {
 		e.restartWatch()
 	}
 }
 
+// Behind is that of Targets, for this list.
+func (e *Evacuations) Behind() time.Duration {
+	e.stateMu.Lock()
+	defer e.stateMu.Unlock()
+	return e.lag.behind
+}
+
 // StoreReturned implements StoreObserver. It has no effect: evacuations don't lapse.
 func (*Evacuations) StoreReturned() {}
 
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -53,7 +53,9 @@
 	// until the next one was in force: at least that since its acknowledgement.
 	applyTime tally.Histogram
 	usable    tally.Gauge // 0: the newest configuration cannot be used
-	sinceBoot func() time.Duration
+	// outdatedLists is the scope of the gauges that tell which lists are behind.
+	outdatedLists tally.Scope
+	sinceBoot     func() time.Duration
 }
 
 // WithLog sets the logger.
@@ -63,6 +65,7 @@
 func WithMeter(s tally.Scope) Option {
 	return func(o *options) {
 		o.oddCount = s.SubScope("store").Counter("odd_entries")
+		o.outdatedLists = s.SubScope("lists")
 		o.applyTime = s.SubScope("config").Histogram("apply_time", applyBuckets)
 		o.usable = s.SubScope("config").Gauge("usable")
 	}
@@ -80,7 +83,7 @@
 
 // newOptions returns the defaults with the options applied.
 func newOptions(opts []Option) options {
-	o := options{log: zerolog.Nop(), oddCount: tally.NoopScope.Counter("odd"), applyTime: tally.NoopScope.Histogram("apply_time", applyBuckets), usable: tally.NoopScope.Gauge("usable"), sinceBoot: clock.SinceBoot}
+	o := options{log: zerolog.Nop(), oddCount: tally.NoopScope.Counter("odd"), applyTime: tally.NoopScope.Histogram("apply_time", applyBuckets), usable: tally.NoopScope.Gauge("usable"), outdatedLists: tally.NoopScope, sinceBoot: clock.SinceBoot}
 	for _, set := range opts {
 		set(&o)
 	}
@@ -154,6 +157,7 @@
 	lastRelay  atomic.Int64  // boot time of the last relay from a neighbour; 0: none
 	lastPiece  atomic.Int64  // boot time of the last piece of an update from a neighbour; 0: none
 	lastCallOK atomic.Bool   // the store answered this daemon's last call; false while relayed
+	late       atomic.Bool   // the list is behind another one by more than MaxLag
 	first      atomic.Bool   // this daemon is the first of all that it can reach
 	rank       atomic.Int64  // number of daemons of the failure domain that precede this one
 	restart    chan struct{} // restarts the running watch
--- a/watch/targets.go
+++ b/watch/targets.go
@@ -40,9 +40,9 @@
 	Target(name string, value []byte) (model.Instance, error)
 }
 
-// maxTargetValue is the size in bytes above which an entry is not one of a target. Entries
-// are relayed to all hosts.
-const maxTargetValue = 16 << 10
+// MaxEntry is the size in bytes above which an entry is not one of a target, a daemon or an
+// evacuation. Entries are relayed to all hosts.
+const MaxEntry = 16 << 10
 
 // TargetSet holds the targets of all pools at one time. It is immutable.
 type TargetSet map[model.PoolID][]*model.Instance
@@ -62,6 +62,7 @@
 	departed    departures
 	newestSeen  store.Version // newest version of the store that any list has seen
 	behindSince time.Time     // time since which the watch is behind newestSeen; zero: it is not
+	lag         lag
 }
 
 // entry is a target and, if its entry in the store was removed, its expiry.
@@ -79,7 +80,7 @@
 // watch alone does not show that: without changes it may wait on a dead connection.
 func NewTargets(source Watcher, kind store.Kind, d TargetDecoder, notify func(TargetSet), storeAge func() time.Duration, storeAnswers func() bool, opts ...Option) *Targets {
 	t := &Targets{follower: newFollower(source, kind, targetDelay, newOptions(opts)), decoder: d, notify: notify, entries: make(map[string]*entry), departed: make(departures)}
-	t.maxValue = maxTargetValue
+	t.maxValue = MaxEntry
 	t.onList, t.onEvents, t.storeAge, t.mayCall, t.storeAnswers = t.replace, t.update, storeAge, t.storeReachable, storeAnswers
 	t.onRestore = func() {
 		t.StoreReturned()
@@ -112,6 +113,7 @@
 	t.stateMu.Lock()
 	defer t.stateMu.Unlock()
 	t.newestSeen = max(t.newestSeen, v)
+	t.noteLag(t.lag.note(known, t.newestSeen, t.sinceBoot()))
 	if t.newestSeen <= known {
 		t.behindSince = time.Time{}
 		return
@@ -127,6 +129,14 @@
 	t.restartWatch()
 }
 
+// Behind returns for how long this list has not reached a version that another list has seen, as of
+// the last answer or relay of that one.
+func (t *Targets) Behind() time.Duration {
+	t.stateMu.Lock()
+	defer t.stateMu.Unlock()
+	return t.lag.behind
+}
+
 // replace applies a complete list. The follower is locked.
 func (t *Targets) replace(objects []store.Object) {
 	t.stateMu.Lock()
--- a/watch/targets_test.go
+++ b/watch/targets_test.go
@@ -166,7 +166,7 @@
 		test.Eq(t, 2, targets())
 		for _, odd := range []store.Object{
 			{Name: "b", Problem: "nested too deeply"},
-			{Name: "b", Value: []byte(strings.Repeat("[", maxTargetValue+1))},
+			{Name: "b", Value: []byte(strings.Repeat("[", MaxEntry+1))},
 			{Name: "b", Value: []byte(`{}`)},
 			{Name: "", Problem: "no name"},
 			{Name: strings.Repeat("n", store.MaxName+1), Value: []byte(`{}`)},
