mesh, model: sets of hosts are hashed once a change, weights are checked

Cause: each message of a leaf hashed the set of its parent, 300 keys at 300 hosts, although it seldom changes. A plan accepted negative weights, and no test looked at the encoding of weights.

Change: the hash is kept until a set changes. Route.Check checks weights.

Result: the tests of mesh (without TestLargeChangeInTime), model, conf and plan pass. The cost of the hash was not measured on its own.

--- a/mesh/node.go
+++ b/mesh/node.go
@@ -35,6 +35,8 @@
 	has      uint32  // hash of that set as the neighbour sent it; 0: none
 	peerHas  uint32  // hash of the set of this host that the neighbour has; 0: none
 	lastSeen time.Time
+	others   setHash // hash of the hosts that the other links reach, as of the number of changes
+	othersAt int
 	// The numbers of hosts that a neighbour of an earlier release sends, which names none.
 	hostCount, newCount int
 }
@@ -92,7 +94,7 @@
 	n.expire()
 	l := n.links[from]
 	if l == nil {
-		l = new(link)
+		l = &link{othersAt: -1}
 		n.links[from] = l
 	}
 	l.lastSeen = n.clock()
@@ -139,12 +141,12 @@
 	defer n.mu.Unlock()
 	l := n.links[to]
 	if l == nil {
-		l = &link{lastSeen: n.clock()}
+		l = &link{lastSeen: n.clock(), othersAt: -1}
 		n.links[to] = l
 	}
 	pending := l.pending
 	l.pending = Sum{}
-	hash := n.reach.hashWithout(l.reaches)
+	hash := n.othersHash(l)
 	hash.toggle(n.reach.self, n.isNew())
 	pending.Reach = &Reach{Hash: hash.short(), Have: l.has}
 	if l.peerHas != hash.short() {
@@ -159,6 +161,14 @@
 	return pending
 }
 
+// othersHash returns the hash of the hosts that the links other than l reach. The caller holds n.mu.
+func (n *Node) othersHash(l *link) setHash {
+	if l.othersAt != n.reach.changes {
+		l.others, l.othersAt = n.reach.hashWithout(l.reaches), n.reach.changes
+	}
+	return l.others
+}
+
 // RemoveLink removes a link and its pending reports.
 func (n *Node) RemoveLink(id model.HostID) {
 	n.mu.Lock()
--- a/mesh/reach.go
+++ b/mesh/reach.go
@@ -105,6 +105,8 @@
 	counts map[hostKey]linkCount
 	hash   setHash // of the union
 	fresh  int     // new hosts in the union
+	// changes counts the changes of the union, so that what follows from it is computed once.
+	changes int
 }
 
 func newReachable(self model.HostID) reachable {
@@ -113,6 +115,9 @@
 
 // add adds the set of a link, or removes it if sign is -1.
 func (u *reachable) add(s hostSet, sign int) {
+	if len(s) > 0 {
+		u.changes++
+	}
 	for key, isNew := range s {
 		before := u.counts[key]
 		after := linkCount{links: before.links + sign, fresh: before.fresh}
--- a/model/check.go
+++ b/model/check.go
@@ -306,6 +306,11 @@
 	default:
 		return fault.Invalid(field("route", string(r.ID), "outage"), fmt.Sprintf("%q is unknown", r.Outage), "use refuse or forward")
 	}
+	for _, d := range r.Split {
+		if err := d.Weight.Check(); err != nil {
+			return fault.Wrap(fault.KindInvalid, err, field("route", string(r.ID), "split"), "write proportions such as 90 and 10")
+		}
+	}
 	if r.Deadline < 0 || r.MaxBodyBytes < 0 {
 		return fault.Invalid(field("route", string(r.ID), "deadline or body"), "must not be negative", "remove the field for the default")
 	}
