mesh: hosts of a link that is silent for 0.7 s do not count

Cause: a host that is cut off uses its own part of the limits after 0.2 to 0.5 s, and its former parent counted it for 1.5 s.

Change: what a link names does not count after 0.7 s. Reports that wait on the link are kept as before. TestHostsCounted checks from 1.5 s after each change instead of 3 s.

Evidence: the stricter test fails on the parent commit (24 counted where 18 are reached) and passes now.

--- a/mesh/count_test.go
+++ b/mesh/count_test.go
@@ -104,7 +104,7 @@
 const (
 	// noticeTime is the time in which all hosts notice that others are gone: a link's timeout
 	// and the way through the tree.
-	noticeTime = 3 * time.Second
+	noticeTime = 1500 * time.Millisecond
 	// joinTime is the time in which those that are left find each other. Each host that does not
 	// answer takes up to half a second, and is tried again after 8 s at most.
 	joinTime = 30 * time.Second
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -14,6 +14,11 @@
 // host sends several messages a second.
 const linkTimeout = 1500 * time.Millisecond
 
+// countTimeout is the time without a message after which the hosts that a link reaches do not count.
+// A host that cannot reach its parent uses its own part of the limits from then on, so this is
+// hardly more than the longest exchange.
+const countTimeout = 700 * time.Millisecond
+
 // Node is the state of one host in the tree: its links and the reports that
 // wait on them. It opens no connections and is safe for concurrent use.
 type Node struct {
@@ -234,12 +239,17 @@
 	return sum
 }
 
-// expire removes the links that timed out. The caller holds n.mu.
+// expire removes the links that timed out, and the hosts of those that are silent. The caller
+// holds n.mu.
 func (n *Node) expire() {
 	now := n.clock()
 	for id, l := range n.links {
-		if now.Sub(l.lastSeen) > linkTimeout {
+		switch silence := now.Sub(l.lastSeen); {
+		case silence > linkTimeout:
 			n.removeLink(id)
+		case silence > countTimeout && l.has != 0:
+			n.replaceSet(l, nil)
+			l.has = 0 // with its next message, the neighbour learns that it has to send the set again
 		}
 	}
 }
