watch: a list counts as outdated when its calls fail, not when it is older

Cause: a list that had not reached a version of the store for 4 s counted as outdated.

Change: the lag is the time for which the calls for the list fail while the configuration is read.

--- a/watch/evacuations.go
+++ b/watch/evacuations.go
@@ -93,7 +93,7 @@
 	known := e.Version()
 	e.stateMu.Lock()
 	defer e.stateMu.Unlock()
-	e.noteLag(e.lag.note(known, v, e.sinceBoot()))
+	e.noteLag(e.lag.note(e.failing.Load(), e.sinceBoot()))
 	if e.stale.exceeds(known, v, maxEvacuationBehind) && e.lastCallOK.Load() {
 		e.restartWatch()
 	}
--- a/watch/follow.go
+++ b/watch/follow.go
@@ -157,6 +157,7 @@
 	lastRelay  atomic.Int64  // boot time of the last relay from a neighbour; 0: none
 	lastPiece  atomic.Int64  // boot time of the last piece of an update from a neighbour; 0: none
 	lastCallOK atomic.Bool   // the store answered this daemon's last call; false while relayed
+	failing    atomic.Bool   // the last call failed, and no neighbour has relayed the list since
 	late       atomic.Bool   // the list is behind another one by more than MaxLag
 	first      atomic.Bool   // this daemon is the first of all that it can reach
 	rank       atomic.Int64  // number of daemons of the failure domain that precede this one
@@ -363,6 +364,7 @@
 		f.setComplete(sent)
 		f.relayedBy = ""
 		f.lastCallOK.Store(true)
+		f.failing.Store(false)
 	}
 	f.mu.Unlock()
 	f.afterApply()
@@ -466,6 +468,7 @@
 func (f *follower) recordFailure(err error) {
 	f.failures++
 	f.lastCallOK.Store(false)
+	f.failing.Store(true)
 	if f.failures == 1 {
 		f.log.Warn().Err(err).Str("kind", string(f.kind)).Msg("store does not answer")
 	}
--- a/watch/relay.go
+++ b/watch/relay.go
@@ -127,6 +127,7 @@
 	}
 	f.relayedBy, f.relist = relayedBy, false
 	f.lastRelay.Store(int64(f.sinceBoot()))
+	f.failing.Store(false)
 	return true
 }
 
--- a/watch/targets.go
+++ b/watch/targets.go
@@ -113,7 +113,7 @@
 	t.stateMu.Lock()
 	defer t.stateMu.Unlock()
 	t.newestSeen = max(t.newestSeen, v)
-	t.noteLag(t.lag.note(known, t.newestSeen, t.sinceBoot()))
+	t.noteLag(t.lag.note(t.failing.Load(), t.sinceBoot()))
 	if t.newestSeen <= known {
 		t.behindSince = time.Time{}
 		return
@@ -129,8 +129,8 @@
 	t.restartWatch()
 }
 
-// Behind returns for how long this list has not reached a version that another list has seen, as of
-// the last answer or relay of that one.
+// Behind returns for how long this list could not be read while another one was, as of the last
+// answer or relay of that one.
 func (t *Targets) Behind() time.Duration {
 	t.stateMu.Lock()
 	defer t.stateMu.Unlock()
