entry, watch: hosts stay ready while none of those that they hear can do more

Cause: a refused configuration, or a list that could not be read for 4 s, made each host unready. What all hosts lack, all of them lack at the same time, so no host would have been ready, and what they can still serve (open routes, known targets) might have stopped.

Change: a host is unready for these reasons only if a neighbour has the newer configuration in force, or if it hears no other host of the list. Keys and the refusal of what is due are as before.

--- a/entry/stop.go
+++ b/entry/stop.go
@@ -52,13 +52,26 @@
 	return e.targets.Behind() > watch.MaxLag || e.evacuations != nil && e.evacuations.Behind() > watch.MaxLag
 }
 
+// isAlone reports whether this host hears none of the other daemons on the list.
+func (e *Entry) isAlone() bool { return len(e.hosts.All()) > 1 && e.node.CountHosts() == 1 }
+
+// othersMayServe reports whether this host cannot use the newest configuration, or cannot read a
+// list, while other hosts may. If all hosts that it hears are in the same state, they stay ready:
+// without any ready host, what they can still serve would stop too.
+func (e *Entry) othersMayServe() bool {
+	if e.config.Unusable() != nil && e.config.NewerElsewhere() {
+		return true
+	}
+	return (e.config.Unusable() != nil || e.listsOutdated()) && e.isAlone()
+}
+
 // isReady reports whether the load balancer should send callers to this host, and logs
 // each change.
 func (e *Entry) isReady() bool {
-	ready := !e.stopping.Load() && !e.listsOutdated() && e.holder.Current() != nil && e.shareKnown.Load() && e.balancer.Evacuation().Known && len(e.targets.Set()) > 0 && e.config.Age() < unreadyAge && !e.configOutdated()
+	ready := !e.stopping.Load() && !e.othersMayServe() && e.holder.Current() != nil && e.shareKnown.Load() && e.balancer.Evacuation().Known && len(e.targets.Set()) > 0 && e.config.ReadAge() < unreadyAge && !e.configOutdated()
 	if e.wasReady.Swap(ready) != ready {
 		e.log.Info().Bool("ready", ready).Bool("stopping", e.stopping.Load()).Dur("age", e.config.Age()).
-			Bool("lists_outdated", e.listsOutdated()).Int("pools", len(e.targets.Set())).Msg("readiness changed")
+			Bool("config_usable", e.config.Unusable() == nil).Bool("lists_outdated", e.listsOutdated()).Int("pools", len(e.targets.Set())).Msg("readiness changed")
 	}
 	return ready
 }
--- a/watch/newest.go
+++ b/watch/newest.go
@@ -66,9 +66,13 @@
 // and this daemon's last proof that its own is the newest is older than bound. The newer one
 // was acknowledged after that proof, so until then it may not be due yet.
 func (c *ConfigFollower) Outdated(bound time.Duration) bool {
-	return c.Age() > bound && c.newestSeen.Load() > c.Newest()
+	return c.Age() > bound && c.NewerElsewhere()
 }
 
+// NewerElsewhere reports whether a neighbour has named a newer configuration than the one in force
+// here.
+func (c *ConfigFollower) NewerElsewhere() bool { return c.newestSeen.Load() > c.Newest() }
+
 // AddNewest implements mesh.NumberedList.
 func (c *ConfigFollower) AddNewest(u *mesh.ListUpdate, known store.Version, to model.HostID) {
 	age := c.storeAge()
