mesh: a child counts once it has confirmed an answer

Change: the set of a child's message counts only if the message says that the child holds the parent's set. Two fields have clearer names.

Evidence: TestHostsCounted plays cuts that lose only answers too; it failed on (24 counted where 12 are reached) and passes now.

--- a/mesh/count_test.go
+++ b/mesh/count_test.go
@@ -26,7 +26,7 @@
 	nodes []*mesh.Node // nil: the process is gone
 	stop  []context.CancelFunc
 	side  []int  // hosts of different sides cannot reach each other
-	kind  string // how a cut answers: silent, reset or refused
+	kind  string // how a cut answers: silent, reset, refused, or heard if only answers are lost
 }
 
 func newCountFleet(n int) *countFleet {
@@ -72,6 +72,10 @@
 	node, cut, kind := f.nodes[j], f.side[i] != f.side[j], f.kind
 	f.mu.Unlock()
 	switch {
+	case cut && kind == "heard" && node != nil:
+		node.Answer(lists, m)
+		<-ctx.Done()
+		return nil, ctx.Err()
 	case cut && kind == "silent":
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -187,7 +191,7 @@
 		return
 	}
 	f.mu.Lock()
-	f.kind = []string{"silent", "reset", "refused"}[random.IntN(3)]
+	f.kind = []string{"silent", "reset", "refused", "heard"}[random.IntN(4)]
 	kind, together := f.kind, random.IntN(2) == 0
 	for n, i := range chosen {
 		f.side[i] = n + 1
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -35,13 +35,13 @@
 
 // link is the state of the connection to a neighbour: the parent or a child.
 type link struct {
-	pending  Sum     // reports to send with the next message
-	reaches  hostSet // hosts that are reachable over the link
-	has      uint32  // hash of that set as the neighbour sent it; 0: none
-	peerHas  uint32  // hash of the set of this host that the neighbour has; 0: none
-	lastSeen time.Time
-	others   setHash // hash of the hosts that the other links reach, as of the number of changes
-	othersAt int
+	pending   Sum     // reports to send with the next message
+	reaches   hostSet // hosts that are reachable over the link
+	held      uint32  // hash of reaches as the neighbour sent it; 0: none
+	peerHolds uint32  // hash of the set of this host that the neighbour holds; 0: none
+	lastSeen  time.Time
+	others    setHash // hash of the hosts that the other links reach, as of the number of changes
+	othersAt  int
 	// The numbers of hosts that a neighbour of an earlier release sends, which names none.
 	hostCount, newCount int
 }
@@ -116,17 +116,17 @@
 	r := in.Reach
 	if r == nil {
 		n.replaceSet(l, nil)
-		l.has, l.peerHas, l.hostCount, l.newCount = 0, 0, in.Hosts, in.New
+		l.held, l.peerHolds, l.hostCount, l.newCount = 0, 0, in.Hosts, in.New
 		return
 	}
-	l.peerHas, l.hostCount, l.newCount = r.Have, 0, 0
+	l.peerHolds, l.hostCount, l.newCount = r.Have, 0, 0
 	switch {
 	case len(r.Hosts) > 0:
 		n.replaceSet(l, parseSet(r))
-		l.has = r.Hash
-	case r.Hash != l.has:
+		l.held = r.Hash
+	case r.Hash != l.held:
 		n.replaceSet(l, nil) // until the neighbour learns that its set is missing here
-		l.has = 0
+		l.held = 0
 	}
 }
 
@@ -153,13 +153,13 @@
 	l.pending = Sum{}
 	hash := n.othersHash(l)
 	hash.toggle(n.reach.self, n.isNew())
-	pending.Reach = &Reach{Hash: hash.short(), Have: l.has}
-	if l.peerHas != hash.short() {
+	pending.Reach = &Reach{Hash: hash.short(), Have: l.held}
+	if l.peerHolds != hash.short() {
 		set := n.reach.setWithout(l.reaches)
 		set[n.reach.self] = n.isNew()
 		pending.Reach.Hosts, pending.Reach.New = set.keys(false), set.keys(true)
 	}
-	if l.has == 0 { // the neighbour may be of an earlier release, or its set was not received yet
+	if l.held == 0 { // the neighbour may be of an earlier release, or its set was not received yet
 		pending.Hosts = n.hostCount() - l.hostCount - len(l.reaches)
 		pending.New = n.newCount() - l.newCount
 	}
@@ -247,9 +247,9 @@
 		switch silence := now.Sub(l.lastSeen); {
 		case silence > linkTimeout:
 			n.removeLink(id)
-		case silence > countTimeout && l.has != 0:
+		case silence > countTimeout && l.held != 0:
 			n.replaceSet(l, nil)
-			l.has = 0 // with its next message, the neighbour learns that it has to send the set again
+			l.held = 0 // with its next message, the neighbour learns that it has to send the set again
 		}
 	}
 }
--- a/mesh/reach.go
+++ b/mesh/reach.go
@@ -44,6 +44,15 @@
 	return nil
 }
 
+// confirmed returns what a child says, or an empty set if it has had no answer over this link: its
+// answers may be lost, so that it uses its own part of the limits. Its next message confirms one.
+func (r *Reach) confirmed() *Reach {
+	if r == nil || r.Have != 0 {
+		return r
+	}
+	return &Reach{}
+}
+
 // hostSet is a set of hosts. The value of a new host is true.
 type hostSet map[hostKey]bool
 
--- a/mesh/run.go
+++ b/mesh/run.go
@@ -103,7 +103,9 @@
 
 // answer processes a message from a child and returns the answer to it.
 func (n *Node) answer(l *RelayedLists, m *Message) *Message {
-	n.Receive(m.From, &m.Sum)
+	sum := m.Sum
+	sum.Reach = sum.Reach.confirmed()
+	n.Receive(m.From, &sum)
 	l.noteNewest(m.Newest)
 	if m.EchoedIncarnation == n.incarnation {
 		l.applyOffers(m.Updates, m.EchoedVersions, m.AnsweredAt, m.From)
